--- /dev/null
+++ b/whinjunction-bench/src/main/java/io/whinjunction/bench/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Benchmarks against the project's own baselines.
+ */
+package io.whinjunction.bench;
--- /dev/null
+++ b/whinjunction-cli/src/main/java/io/whinjunction/cli/ExplainCommand.java
@@ -0,0 +1,59 @@
+package io.whinjunction.cli;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import com.github.rvesse.airline.annotations.Arguments;
+import com.github.rvesse.airline.annotations.Command;
+import io.whinjunction.configuration.Json;
+import tools.jackson.databind.JsonNode;
+
+/**
+ * Tells why a request went where it went, or why it was refused.
+ */
+@Command(name = "explain", description = "Tells why a request went where it went or was refused; " + ExitCode.HELP)
+public final class ExplainCommand extends WhinCommand {
+
+	@Arguments(title = "REQUEST-ID", description = "The whin-request-id of the answer")
+	private String requestId;
+
+	@Override
+	ExitCode execute() {
+		if (this.requestId == null) {
+			throw new UsageException("the whin-request-id of an answer is needed");
+		}
+		for (String entry : entries()) {
+			JsonNode decision = ask(entry, "/explain/" + this.requestId);
+			if (decision != null) {
+				show(decision);
+				return ExitCode.OK;
+			}
+		}
+		problem("none of the entries remembers '" + this.requestId + "'; each keeps its newest 2048 requests");
+		return ExitCode.PARTIAL;
+	}
+
+	private void show(JsonNode decision) {
+		if (json()) {
+			System.out.println(Json.MAPPER.writerWithDefaultPrettyPrinter().writeValueAsString(decision));
+			return;
+		}
+		System.out.println("request " + decision.path("request_id").asString("") + " at "
+				+ decision.path("entry").asString("") + " (" + decision.path("failure_domain").asString("") + "), team "
+				+ decision.path("team").asString("") + ", service " + decision.path("service").asString("")
+				+ ", configuration revision " + decision.path("revision").asLong(0));
+		System.out
+			.println("outcome " + decision.path("outcome").asString("") + ", " + decision.path("code").asString("")
+					+ ", " + decision.path("took_ms").asLong(0) + " ms. " + decision.path("why").asString(""));
+		List<Map<String, Object>> rows = new ArrayList<>();
+		for (JsonNode hop : decision.path("hops")) {
+			Map<String, Object> row = new LinkedHashMap<>();
+			hop.properties().forEach((field) -> row.put(field.getKey(), field.getValue().asString("")));
+			rows.add(row);
+		}
+		print(List.of("attempt", "upstream", "failure_domain", "layers", "steps", "millis", "end"), rows);
+	}
+
+}
--- /dev/null
+++ b/whinjunction-cli/src/main/java/io/whinjunction/cli/FilesCommand.java
@@ -0,0 +1,42 @@
+package io.whinjunction.cli;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+
+import com.github.rvesse.airline.annotations.Arguments;
+import com.github.rvesse.airline.annotations.Option;
+import io.whinjunction.configuration.ConfigurationReader;
+import io.whinjunction.configuration.ConfigurationReader.Checked;
+
+/**
+ * A command that reads a base file and overlays.
+ */
+abstract class FilesCommand extends WhinCommand {
+
+	@Arguments(title = "BASE", description = "The base file")
+	private String base;
+
+	@Option(name = "--overlay", title = "FILE", description = "A site's overlay; may be given several times")
+	private List<String> overlays = new ArrayList<>();
+
+	/**
+	 * Reads and checks the files; prints every fault.
+	 * @return what they say, or {@code null} where there is a fault
+	 */
+	Checked.Valid readFiles() {
+		if (this.base == null) {
+			throw new UsageException("the base file is needed");
+		}
+		Checked checked = ConfigurationReader.readFiles(Path.of(this.base),
+				this.overlays.stream().map(Path::of).toList());
+		return switch (checked) {
+			case Checked.Valid valid -> valid;
+			case Checked.Invalid invalid -> {
+				invalid.problems().forEach((problem) -> problem(problem.toString()));
+				yield null;
+			}
+		};
+	}
+
+}
--- /dev/null
+++ b/whinjunction-cli/src/main/java/io/whinjunction/cli/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The operators' command line.
+ */
+package io.whinjunction.cli;
--- /dev/null
+++ b/whinjunction-controller/src/main/java/io/whinjunction/controller/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * One candidate for giving orders to engines.
+ */
+package io.whinjunction.controller;
--- /dev/null
+++ b/whinjunction-core/src/main/java/io/whinjunction/engine/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Model engines, behind a narrow interface.
+ */
+package io.whinjunction.engine;
--- /dev/null
+++ b/whinjunction-core/src/main/java/io/whinjunction/explain/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Why a request went where it went.
+ */
+package io.whinjunction.explain;
--- /dev/null
+++ b/whinjunction-core/src/main/java/io/whinjunction/http/server/ChannelExchange.java
@@ -0,0 +1,187 @@
+package io.whinjunction.http.server;
+
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.Condition;
+import java.util.concurrent.locks.ReentrantLock;
+
+import com.google.common.flogger.FluentLogger;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.DefaultLastHttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+
+/**
+ * An exchange on one connection or HTTP/2 stream.
+ * <p>
+ * Invariant: exactly one end (reply, end or abort) reaches the channel; a handler that
+ * forgets it, or fails, is ended by the server. The handler's thread writes; the event
+ * loop only signals.
+ */
+final class ChannelExchange implements Exchange {
+
+	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+	/** A reader slower than this is taken for gone. */
+	private static final long MAX_WRITE_WAIT_MS = 30_000;
+
+	private static final String FAILED = "{\"error\":{\"code\":\"internal\",\"message\":\"The request failed inside the router.\"}}";
+
+	private final Channel channel;
+
+	private final Request request;
+
+	private final boolean keepAlive;
+
+	private final boolean http2;
+
+	private final Runnable finished;
+
+	private final ReentrantLock lock = new ReentrantLock();
+
+	private final Condition writable = this.lock.newCondition();
+
+	private volatile boolean gone;
+
+	private boolean begun;
+
+	private boolean ended;
+
+	ChannelExchange(Channel channel, Request request, boolean keepAlive, boolean http2, Runnable finished) {
+		this.channel = channel;
+		this.request = request;
+		this.keepAlive = keepAlive;
+		this.http2 = http2;
+		this.finished = finished;
+	}
+
+	@Override
+	public Request request() {
+		return this.request;
+	}
+
+	@Override
+	public void reply(Reply reply) {
+		if (this.ended || this.begun) {
+			throw new IllegalStateException("already answered");
+		}
+		this.ended = true;
+		finish(this.channel.writeAndFlush(Responses.whole(reply, !this.keepAlive)));
+	}
+
+	@Override
+	public void begin(int status, List<Map.Entry<String, String>> headers) {
+		this.begun = true;
+		HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
+		Responses.add(response.headers(), headers);
+		if (!this.http2) {
+			response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+			if (!this.keepAlive) {
+				response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+			}
+		}
+		this.channel.writeAndFlush(response);
+	}
+
+	@Override
+	public void write(byte[] piece) {
+		awaitWritable();
+		this.channel.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(piece)));
+	}
+
+	@Override
+	public void end(List<Map.Entry<String, String>> trailers) {
+		this.ended = true;
+		DefaultLastHttpContent last = new DefaultLastHttpContent();
+		Responses.add(last.trailingHeaders(), trailers);
+		finish(this.channel.writeAndFlush(last));
+	}
+
+	@Override
+	public void abort() {
+		this.ended = true;
+		this.gone = true;
+		// Queued behind what was written, so that the reader gets all of it first.
+		this.channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+		this.finished.run();
+	}
+
+	@Override
+	public boolean gone() {
+		return this.gone;
+	}
+
+	void markGone() {
+		this.gone = true;
+		signalWritable();
+	}
+
+	void signalWritable() {
+		this.lock.lock();
+		try {
+			this.writable.signalAll();
+		}
+		finally {
+			this.lock.unlock();
+		}
+	}
+
+	void fail(Exception cause) {
+		logger.atSevere().withCause(cause).log("handler failed for %s", this.request.path());
+		if (this.ended) {
+			return;
+		}
+		if (this.begun) {
+			abort();
+		}
+		else {
+			reply(Reply.json(500, FAILED).with("whin-outcome", "unknown"));
+		}
+	}
+
+	void ensureFinished() {
+		if (!this.ended) {
+			fail(new IllegalStateException("the handler left the request unanswered"));
+		}
+	}
+
+	private void finish(ChannelFuture written) {
+		if (!this.keepAlive) {
+			written.addListener(ChannelFutureListener.CLOSE);
+		}
+		this.finished.run();
+	}
+
+	private void awaitWritable() {
+		if (this.channel.isWritable()) {
+			return;
+		}
+		this.lock.lock();
+		try {
+			long leftNs = TimeUnit.MILLISECONDS.toNanos(MAX_WRITE_WAIT_MS);
+			while (!this.channel.isWritable() && !this.gone && leftNs > 0) {
+				leftNs = this.writable.awaitNanos(leftNs);
+			}
+			if (leftNs <= 0) {
+				this.gone = true;
+			}
+		}
+		catch (InterruptedException ex) {
+			this.gone = true;
+			Thread.currentThread().interrupt();
+		}
+		finally {
+			this.lock.unlock();
+		}
+	}
+
+}
--- /dev/null
+++ b/whinjunction-core/src/main/java/io/whinjunction/http/server/ProtocolDetector.java
@@ -0,0 +1,39 @@
+package io.whinjunction.http.server;
+
+import java.util.List;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.ByteToMessageDecoder;
+
+/**
+ * Tells HTTP/2 with prior knowledge from HTTP/1.1 by its first bytes. One per connection.
+ */
+final class ProtocolDetector extends ByteToMessageDecoder {
+
+	/** The HTTP/2 preface begins with a method that HTTP/1.1 does not have. */
+	private static final byte[] PREFACE = { 'P', 'R', 'I', ' ' };
+
+	private final ConnectionInitializer initializer;
+
+	ProtocolDetector(ConnectionInitializer initializer) {
+		this.initializer = initializer;
+	}
+
+	@Override
+	protected void decode(ChannelHandlerContext context, ByteBuf in, List<Object> out) {
+		for (int i = 0; i < PREFACE.length; i++) {
+			if (in.readableBytes() <= i) {
+				return;
+			}
+			if (in.getByte(in.readerIndex() + i) != PREFACE[i]) {
+				this.initializer.addHttp1(context.pipeline());
+				context.pipeline().remove(this);
+				return;
+			}
+		}
+		this.initializer.addHttp2(context.pipeline());
+		context.pipeline().remove(this);
+	}
+
+}
--- /dev/null
+++ b/whinjunction-core/src/main/java/io/whinjunction/http/server/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The HTTP server: whole requests on virtual threads.
+ */
+package io.whinjunction.http.server;
--- /dev/null
+++ b/whinjunction-core/src/main/java/io/whinjunction/lease/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * A lease in the object API with a fencing number.
+ */
+package io.whinjunction.lease;
--- /dev/null
+++ b/whinjunction-core/src/main/java/io/whinjunction/log/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Log lines as JSON.
+ */
+package io.whinjunction.log;
--- /dev/null
+++ b/whinjunction-core/src/main/java/io/whinjunction/membership/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Which entries there are, by probes and gossip of bounded size.
+ */
+package io.whinjunction.membership;
--- /dev/null
+++ b/whinjunction-core/src/main/java/io/whinjunction/metrics/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Metrics with bounded labels.
+ */
+package io.whinjunction.metrics;
--- /dev/null
+++ b/whinjunction-core/src/main/java/io/whinjunction/once/StoredAnswer.java
@@ -0,0 +1,14 @@
+package io.whinjunction.once;
+
+import java.util.List;
+import java.util.Map;
+
+/**
+ * The first answer to an action, to be given again. Immutable.
+ *
+ * @param status the status
+ * @param headers the headers to give
+ * @param body the body
+ */
+public record StoredAnswer(int status, List<Map.Entry<String, String>> headers, byte[] body) {
+}
--- /dev/null
+++ b/whinjunction-core/src/main/java/io/whinjunction/order/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Which upstream should hold which layers.
+ */
+package io.whinjunction.order;
--- /dev/null
+++ b/whinjunction-core/src/main/java/io/whinjunction/outcome/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * What a caller may be told about its request.
+ */
+package io.whinjunction.outcome;
--- /dev/null
+++ b/whinjunction-core/src/main/java/io/whinjunction/peer/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The protocol between entries.
+ */
+package io.whinjunction.peer;
--- /dev/null
+++ b/whinjunction-core/src/main/java/io/whinjunction/pipeline/Pipeline.java
@@ -0,0 +1,11 @@
+package io.whinjunction.pipeline;
+
+import java.util.List;
+
+/**
+ * One upstream for each layer range, in order. Immutable.
+ *
+ * @param stages the upstreams, first layers first
+ */
+public record Pipeline(List<Upstream> stages) {
+}
--- /dev/null
+++ b/whinjunction-core/src/main/java/io/whinjunction/pipeline/PipelineChooser.java
@@ -0,0 +1,136 @@
+package io.whinjunction.pipeline;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+
+import io.whinjunction.configuration.LayerRange;
+import io.whinjunction.configuration.Service;
+import io.whinjunction.configuration.Team;
+import io.whinjunction.place.PlaceRules;
+import io.whinjunction.time.Ticker;
+
+/**
+ * Chooses the upstreams of a request.
+ * <p>
+ * Invariant: whatever else is preferred, no upstream outside the team's permitted places
+ * is ever chosen. Safe for all threads where the random source is.
+ */
+public final class PipelineChooser {
+
+	private final UpstreamTable table;
+
+	private final ChoicePolicy policy;
+
+	private final Ticker ticker;
+
+	private final RandomGenerator random;
+
+	public PipelineChooser(UpstreamTable table, ChoicePolicy policy, Ticker ticker, RandomGenerator random) {
+		this.table = table;
+		this.policy = policy;
+		this.ticker = ticker;
+		this.random = random;
+	}
+
+	/**
+	 * Chooses a pipeline for a model.
+	 * @param model the model
+	 * @param team whose data it is
+	 * @param rules the place rules in force
+	 * @param avoided instances that already failed this request
+	 * @return a pipeline, or why there is none
+	 */
+	public Choice pipeline(Service.Model model, Team team, PlaceRules rules, Set<String> avoided) {
+		List<Upstream> stages = new ArrayList<>(model.ranges().size());
+		for (LayerRange range : model.ranges()) {
+			Choice choice = one(this.table.holding(model.name(), range), team, rules, avoided, "layers " + range);
+			if (!(choice instanceof Choice.Chosen chosen)) {
+				return choice;
+			}
+			stages.addAll(chosen.pipeline().stages());
+		}
+		return new Choice.Chosen(new Pipeline(List.copyOf(stages)));
+	}
+
+	/**
+	 * Chooses an upstream of a plain service.
+	 * @param service the service
+	 * @param team whose data it is
+	 * @param rules the place rules in force
+	 * @param avoided instances that already failed this request
+	 * @return a pipeline of one stage, or why there is none
+	 */
+	public Choice plain(Service.Plain service, Team team, PlaceRules rules, Set<String> avoided) {
+		return one(this.table.plain(service.name()), team, rules, avoided, "service " + service.name());
+	}
+
+	private Choice one(List<Upstream> holders, Team team, PlaceRules rules, Set<String> avoided, String what) {
+		List<Upstream> permitted = new ArrayList<>(holders.size());
+		for (Upstream holder : holders) {
+			if (rules.permits(team, holder.failureDomain())) {
+				permitted.add(holder);
+			}
+		}
+		if (permitted.isEmpty()) {
+			return holders.isEmpty() ? new Choice.NoneAlive(what) : new Choice.NonePermitted(what);
+		}
+		List<Upstream> usable = usable(permitted, avoided);
+		if (usable.isEmpty()) {
+			return new Choice.NoneAlive(what);
+		}
+		return new Choice.Chosen(new Pipeline(List.of(this.policy.choose(usable, this.table, this.random))));
+	}
+
+	private List<Upstream> usable(List<Upstream> permitted, Set<String> avoided) {
+		long nowMs = this.ticker.nowMs();
+		List<Upstream> usable = new ArrayList<>(permitted.size());
+		List<Upstream> paused = new ArrayList<>();
+		for (Upstream upstream : permitted) {
+			if (avoided.contains(upstream.id())) {
+				continue;
+			}
+			if (this.table.load(upstream.id()).paused(nowMs)) {
+				paused.add(upstream);
+			}
+			else {
+				usable.add(upstream);
+			}
+		}
+		// With nothing else left a paused upstream is better than a refusal.
+		return usable.isEmpty() ? paused : usable;
+	}
+
+	/**
+	 * The result of choosing.
+	 */
+	public sealed interface Choice {
+
+		/**
+		 * A pipeline.
+		 *
+		 * @param pipeline the pipeline
+		 */
+		record Chosen(Pipeline pipeline) implements Choice {
+		}
+
+		/**
+		 * Upstreams exist, none where the team's data may be.
+		 *
+		 * @param what what is missing
+		 */
+		record NonePermitted(String what) implements Choice {
+		}
+
+		/**
+		 * No permitted upstream is alive now.
+		 *
+		 * @param what what is missing
+		 */
+		record NoneAlive(String what) implements Choice {
+		}
+
+	}
+
+}
--- /dev/null
+++ b/whinjunction-core/src/main/java/io/whinjunction/place/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Where a team's data may be.
+ */
+package io.whinjunction.place;
--- /dev/null
+++ b/whinjunction-core/src/main/java/io/whinjunction/platform/ObjectStore.java
@@ -0,0 +1,190 @@
+package io.whinjunction.platform;
+
+import java.util.List;
+
+/**
+ * The platform's versioned object API. Calls block the calling (virtual) thread for at
+ * most the client's timeout. Implementations are safe for all threads.
+ */
+public interface ObjectStore {
+
+	/** The version to give to {@link #write} where the object must not exist yet. */
+	long ABSENT = 0;
+
+	/**
+	 * Reads one object.
+	 * @param key its key
+	 * @return the object, its absence, or that the platform did not answer
+	 */
+	Read read(String key);
+
+	/**
+	 * Writes one object where its version is still the expected one.
+	 * @param key its key
+	 * @param value at most a megabyte
+	 * @param expectedVersion the version to replace, or {@link #ABSENT}
+	 * @return what is known of the write
+	 */
+	Write write(String key, String value, long expectedVersion);
+
+	/**
+	 * Lists the objects below a prefix.
+	 * @param prefix the prefix
+	 * @return the objects in key order, or that the platform did not answer
+	 */
+	Listing list(String prefix);
+
+	/**
+	 * Removes an object where its version is still the expected one.
+	 * @param key its key
+	 * @param expectedVersion the version to remove
+	 * @return what is known of the removal
+	 */
+	Write remove(String key, long expectedVersion);
+
+	/**
+	 * Waits until an object is newer than a version.
+	 * @param key its key
+	 * @param afterVersion the version already known
+	 * @param timeoutMs how long to wait, in milliseconds
+	 * @return the newer object, {@link Read.Absent} where nothing newer came, or that the
+	 * platform did not answer
+	 */
+	Read watch(String key, long afterVersion, long timeoutMs);
+
+	/**
+	 * Lists the instances of upstreams, lagging.
+	 * @return the instances, or that the platform did not answer
+	 */
+	Instances instances();
+
+	/**
+	 * What a read found.
+	 */
+	sealed interface Read {
+
+		/**
+		 * The object.
+		 *
+		 * @param version its version
+		 * @param value its value
+		 */
+		record Found(long version, String value) implements Read {
+		}
+
+		/**
+		 * There is no such object, or none newer.
+		 */
+		record Absent() implements Read {
+		}
+
+		/**
+		 * The platform did not answer.
+		 *
+		 * @param reason why, for the log
+		 */
+		record Unavailable(String reason) implements Read {
+		}
+
+	}
+
+	/**
+	 * What is known of a write.
+	 */
+	sealed interface Write {
+
+		/**
+		 * It took effect.
+		 *
+		 * @param version the new version
+		 */
+		record Written(long version) implements Write {
+		}
+
+		/**
+		 * Another version stands there; nothing was written.
+		 */
+		record Conflict() implements Write {
+		}
+
+		/**
+		 * It may have taken effect, at once or later.
+		 *
+		 * @param reason why, for the log
+		 */
+		record Uncertain(String reason) implements Write {
+		}
+
+	}
+
+	/**
+	 * What a listing found.
+	 */
+	sealed interface Listing {
+
+		/**
+		 * The objects.
+		 *
+		 * @param objects in key order
+		 */
+		record Objects(List<StoredObject> objects) implements Listing {
+		}
+
+		/**
+		 * The platform did not answer.
+		 *
+		 * @param reason why, for the log
+		 */
+		record Unavailable(String reason) implements Listing {
+		}
+
+	}
+
+	/**
+	 * One object of a listing.
+	 *
+	 * @param key its key
+	 * @param version its version
+	 * @param value its value
+	 */
+	record StoredObject(String key, long version, String value) {
+	}
+
+	/**
+	 * What the instance list said.
+	 */
+	sealed interface Instances {
+
+		/**
+		 * The list.
+		 *
+		 * @param instances live and leaving instances
+		 */
+		record Listed(List<Instance> instances) implements Instances {
+		}
+
+		/**
+		 * The platform did not answer.
+		 *
+		 * @param reason why, for the log
+		 */
+		record Unavailable(String reason) implements Instances {
+		}
+
+	}
+
+	/**
+	 * One instance of the list.
+	 *
+	 * @param id its name
+	 * @param service the service it belongs to
+	 * @param address {@code HOST:PORT}
+	 * @param failureDomain where it is
+	 * @param acceleratorKind its kind of accelerator; empty for a plain service
+	 * @param leaving whether it will go soon
+	 */
+	record Instance(String id, String service, String address, String failureDomain, String acceleratorKind,
+			boolean leaving) {
+	}
+
+}
--- /dev/null
+++ b/whinjunction-core/src/main/java/io/whinjunction/session/DraftSession.java
@@ -0,0 +1,240 @@
+package io.whinjunction.session;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+import io.whinjunction.engine.EngineClient;
+import io.whinjunction.engine.EngineClient.Step;
+import io.whinjunction.engine.EngineClient.StepResult;
+import io.whinjunction.outcome.Outcome;
+import io.whinjunction.outcome.Refusal;
+import io.whinjunction.outcome.Refusal.Code;
+import io.whinjunction.pipeline.Pipeline;
+import io.whinjunction.pipeline.PipelineChooser;
+import io.whinjunction.pipeline.PipelineChooser.Choice;
+import io.whinjunction.pipeline.Upstream;
+import io.whinjunction.pipeline.UpstreamLoad;
+import io.whinjunction.pipeline.UpstreamTable;
+import io.whinjunction.time.Ticker;
+
+/**
+ * Follows one draft token by token, relaying activations from stage to stage.
+ * <p>
+ * Invariants: a token is given to the caller once, from one attempt, after each layer ran
+ * once in order for it; a new attempt computes the KV cache of earlier tokens again but
+ * never gives them out again; "not run" is claimed only while no step was sent. Confined
+ * to one (virtual) thread.
+ */
+public final class DraftSession {
+
+	private static final int RETRY_AFTER_S = 1;
+
+	private final DraftRequest request;
+
+	private final PipelineChooser chooser;
+
+	private final UpstreamTable table;
+
+	private final EngineClient engines;
+
+	private final RetryBudget budget;
+
+	private final Ticker ticker;
+
+	private final StepLedger ledger;
+
+	private final List<String> tokens = new ArrayList<>();
+
+	private final List<HopRecorder> hops = new ArrayList<>();
+
+	private final Set<String> avoided = new HashSet<>();
+
+	private final Set<Upstream> touched = new HashSet<>();
+
+	private int attempt;
+
+	public DraftSession(DraftRequest request, PipelineChooser chooser, UpstreamTable table, EngineClient engines,
+			RetryBudget budget, Ticker ticker) {
+		this.request = request;
+		this.chooser = chooser;
+		this.table = table;
+		this.engines = engines;
+		this.budget = budget;
+		this.ticker = ticker;
+		this.ledger = new StepLedger(request.model().layerCount());
+	}
+
+	/**
+	 * Makes the draft.
+	 * @param sink where tokens go as they come
+	 * @return how it ended; the engines have been told to forget the stream where it did
+	 * not end well
+	 */
+	public DraftResult run(TokenSink sink) {
+		this.budget.requested();
+		Outcome outcome = attempts(sink);
+		cleanUp();
+		return new DraftResult(outcome, List.copyOf(this.tokens), this.hops.stream().map(HopRecorder::hop).toList(),
+				this.attempt);
+	}
+
+	private Outcome attempts(TokenSink sink) {
+		while (true) {
+			Choice choice = this.chooser.pipeline(this.request.model(), this.request.team(), this.request.rules(),
+					this.avoided);
+			if (!(choice instanceof Choice.Chosen chosen)) {
+				return refuse(choice);
+			}
+			this.attempt++;
+			AttemptEnd end = attempt(chosen.pipeline(), sink);
+			switch (end) {
+				case AttemptEnd.Whole ignored -> {
+					return new Outcome.Answered();
+				}
+				case AttemptEnd.CallerGone ignored -> {
+					return givenUp(Code.UPSTREAM_FAILED, "The caller left before the answer was whole.");
+				}
+				case AttemptEnd.TooLate ignored -> {
+					return givenUp(Code.DEADLINE, "The answer was not whole before its deadline.");
+				}
+				case AttemptEnd.StageFailed ignored -> {
+					if (!this.budget.tryRetry()) {
+						return givenUp(Code.UPSTREAM_FAILED, "A stage failed and the budget for retries is used up.");
+					}
+				}
+			}
+		}
+	}
+
+	private AttemptEnd attempt(Pipeline pipeline, TokenSink sink) {
+		this.ledger.abandon();
+		List<UpstreamLoad> loads = new ArrayList<>();
+		List<HopRecorder> recorders = new ArrayList<>();
+		for (Upstream stage : pipeline.stages()) {
+			UpstreamLoad load = this.table.load(stage.id());
+			load.start();
+			loads.add(load);
+			recorders.add(new HopRecorder(this.attempt, stage));
+		}
+		this.hops.addAll(recorders);
+		try {
+			return tokens(pipeline, recorders, sink);
+		}
+		finally {
+			loads.forEach(UpstreamLoad::end);
+		}
+	}
+
+	private AttemptEnd tokens(Pipeline pipeline, List<HopRecorder> recorders, TokenSink sink) {
+		// The first step of an attempt computes the prompt and every token the caller
+		// already has, which builds the KV cache of all stages; then one at a time.
+		int position = 0;
+		List<String> inputs = new ArrayList<>();
+		inputs.add(this.request.prompt());
+		inputs.addAll(this.tokens);
+		while (this.tokens.size() < this.request.maxTokens()) {
+			if (sink.cancelled()) {
+				return new AttemptEnd.CallerGone();
+			}
+			if (this.ticker.nowMs() >= this.request.deadlineMs()) {
+				return new AttemptEnd.TooLate();
+			}
+			String token = token(pipeline, recorders, position, inputs);
+			if (token == null) {
+				return new AttemptEnd.StageFailed();
+			}
+			position += inputs.size();
+			inputs = List.of(token);
+			this.tokens.add(token);
+			sink.token(token);
+		}
+		return new AttemptEnd.Whole();
+	}
+
+	private String token(Pipeline pipeline, List<HopRecorder> recorders, int position, List<String> inputs) {
+		List<String> values = inputs;
+		for (int i = 0; i < pipeline.stages().size(); i++) {
+			Upstream stage = pipeline.stages().get(i);
+			Step step = new Step(this.request.id(), this.attempt, position, stage.range(), stage.generation(), values,
+					this.request.team().weight());
+			values = step(stage, step, recorders.get(i));
+			if (values == null) {
+				return null;
+			}
+		}
+		return values.get(0);
+	}
+
+	private List<String> step(Upstream stage, Step step, HopRecorder recorder) {
+		long startMs = this.ticker.nowMs();
+		long timeoutMs = Math.max(1,
+				Math.min(this.request.model().stepTimeoutMs(), this.request.deadlineMs() - startMs));
+		this.ledger.open(step);
+		StepResult result = this.engines.step(stage.address(), step, timeoutMs);
+		long tookMs = this.ticker.nowMs() - startMs;
+		switch (result) {
+			case StepResult.Done done -> {
+				this.touched.add(stage);
+				if (this.ledger.accept(done)) {
+					this.table.load(stage.id()).succeeded(tookMs);
+					recorder.ran(tookMs);
+					return done.outputs();
+				}
+				fail(stage, recorder, tookMs, "answered another step");
+			}
+			case StepResult.Refused refused -> fail(stage, recorder, tookMs, "refused: " + refused.reason());
+			case StepResult.Failed failed -> {
+				this.touched.add(stage);
+				fail(stage, recorder, tookMs, failed.reason());
+			}
+		}
+		return null;
+	}
+
+	private void fail(Upstream stage, HopRecorder recorder, long tookMs, String reason) {
+		recorder.failed(tookMs, reason);
+		this.avoided.add(stage.id());
+		this.table.load(stage.id()).failed(this.ticker.nowMs());
+	}
+
+	private Outcome refuse(Choice choice) {
+		return switch (choice) {
+			case Choice.NonePermitted none -> givenUp(Code.PLACE_NOT_PERMITTED,
+					"No place permitted for team '" + this.request.team().name() + "' holds " + none.what() + ".");
+			case Choice.NoneAlive none ->
+				givenUp(Code.NO_UPSTREAM, "No permitted upstream holds " + none.what() + " now.");
+			case Choice.Chosen chosen -> throw new IllegalStateException("chosen: " + chosen);
+		};
+	}
+
+	private Outcome givenUp(Code code, String sentence) {
+		Refusal refusal = (code == Code.PLACE_NOT_PERMITTED) ? Refusal.permanent(code, sentence)
+				: Refusal.temporary(code, sentence, RETRY_AFTER_S);
+		return this.touched.isEmpty() ? new Outcome.NotRun(refusal) : new Outcome.Unknown(refusal);
+	}
+
+	private void cleanUp() {
+		for (Upstream stage : this.touched) {
+			Thread.startVirtualThread(() -> this.engines.cancel(stage.address(), this.request.id()));
+		}
+	}
+
+	private sealed interface AttemptEnd {
+
+		record Whole() implements AttemptEnd {
+		}
+
+		record CallerGone() implements AttemptEnd {
+		}
+
+		record TooLate() implements AttemptEnd {
+		}
+
+		record StageFailed() implements AttemptEnd {
+		}
+
+	}
+
+}
--- /dev/null
+++ b/whinjunction-core/src/main/java/io/whinjunction/session/TokenSink.java
@@ -0,0 +1,20 @@
+package io.whinjunction.session;
+
+/**
+ * Where a draft's tokens go. Called from one thread.
+ */
+public interface TokenSink {
+
+	/**
+	 * Takes the next token.
+	 * @param token the token
+	 */
+	void token(String token);
+
+	/**
+	 * Whether the caller has gone.
+	 * @return {@code true} once nobody reads any more
+	 */
+	boolean cancelled();
+
+}
--- /dev/null
+++ b/whinjunction-core/src/main/java/io/whinjunction/tls/TlsFiles.java
@@ -0,0 +1,127 @@
+package io.whinjunction.tls;
+
+import java.io.File;
+import java.util.Map;
+
+import javax.net.ssl.SSLContext;
+import javax.net.ssl.SSLException;
+
+import com.google.common.flogger.FluentLogger;
+import io.netty.handler.codec.http2.Http2SecurityUtil;
+import io.netty.handler.ssl.ApplicationProtocolConfig;
+import io.netty.handler.ssl.ApplicationProtocolNames;
+import io.netty.handler.ssl.JdkSslContext;
+import io.netty.handler.ssl.SslContext;
+import io.netty.handler.ssl.SslContextBuilder;
+import io.netty.handler.ssl.SslProvider;
+import io.netty.handler.ssl.SupportedCipherSuiteFilter;
+import io.whinjunction.time.Ticker;
+
+/**
+ * TLS from PEM files that are read again when they change.
+ * <p>
+ * Invariant: a pair of files that cannot be read never replaces one that could; the old
+ * one stays in use and the fault is logged. Safe for all threads.
+ */
+public final class TlsFiles {
+
+	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+	private static final long LOOK_EVERY_MS = 2000;
+
+	private final File certificate;
+
+	private final File key;
+
+	private final File authority;
+
+	private final Ticker ticker;
+
+	private Contexts current;
+
+	private Map<File, Long> readAt;
+
+	private long lookedAtMs;
+
+	/**
+	 * Reads the files.
+	 * @param certificate the certificate chain, PEM
+	 * @param key its private key, PEM, PKCS #8
+	 * @param authority whom to trust between processes, PEM
+	 * @param ticker the clock
+	 * @throws SSLException where they cannot be read
+	 */
+	public TlsFiles(File certificate, File key, File authority, Ticker ticker) throws SSLException {
+		this.certificate = certificate;
+		this.key = key;
+		this.authority = authority;
+		this.ticker = ticker;
+		this.readAt = modified();
+		this.current = read();
+		this.lookedAtMs = ticker.nowMs();
+	}
+
+	/**
+	 * For callers' connections: a server that offers HTTP/2 and HTTP/1.1.
+	 * @return the context of the newest readable files
+	 */
+	public SslContext forCallers() {
+		return current().callers;
+	}
+
+	/**
+	 * For connections between processes, both sides proving themselves.
+	 * @return the context of the newest readable files
+	 */
+	public SSLContext forPeers() {
+		return current().peers;
+	}
+
+	private synchronized Contexts current() {
+		long nowMs = this.ticker.nowMs();
+		if (nowMs - this.lookedAtMs >= LOOK_EVERY_MS) {
+			this.lookedAtMs = nowMs;
+			reload();
+		}
+		return this.current;
+	}
+
+	private void reload() {
+		Map<File, Long> now = modified();
+		if (now.equals(this.readAt)) {
+			return;
+		}
+		try {
+			this.current = read();
+			this.readAt = now;
+			logger.atInfo().log("TLS files read again");
+		}
+		catch (SSLException | IllegalArgumentException ex) {
+			logger.atSevere().withCause(ex).log("TLS files changed but cannot be read; the old ones stay in use");
+		}
+	}
+
+	private Map<File, Long> modified() {
+		return Map.of(this.certificate, this.certificate.lastModified(), this.key, this.key.lastModified());
+	}
+
+	private Contexts read() throws SSLException {
+		SslContext callers = SslContextBuilder.forServer(this.certificate, this.key)
+			.sslProvider(SslProvider.JDK)
+			.ciphers(Http2SecurityUtil.CIPHERS, SupportedCipherSuiteFilter.INSTANCE)
+			.applicationProtocolConfig(new ApplicationProtocolConfig(ApplicationProtocolConfig.Protocol.ALPN,
+					ApplicationProtocolConfig.SelectorFailureBehavior.NO_ADVERTISE,
+					ApplicationProtocolConfig.SelectedListenerFailureBehavior.ACCEPT, ApplicationProtocolNames.HTTP_2,
+					ApplicationProtocolNames.HTTP_1_1))
+			.build();
+		JdkSslContext peers = (JdkSslContext) SslContextBuilder.forServer(this.certificate, this.key)
+			.sslProvider(SslProvider.JDK)
+			.trustManager(this.authority)
+			.build();
+		return new Contexts(callers, peers.context());
+	}
+
+	private record Contexts(SslContext callers, SSLContext peers) {
+	}
+
+}
--- /dev/null
+++ b/whinjunction-core/src/main/java/io/whinjunction/tls/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * TLS from PEM files.
+ */
+package io.whinjunction.tls;
--- /dev/null
+++ b/whinjunction-core/src/main/java/io/whinjunction/trace/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Spans for each hop.
+ */
+package io.whinjunction.trace;
--- /dev/null
+++ b/whinjunction-entry/src/main/java/io/whinjunction/entry/Admission.java
@@ -0,0 +1,80 @@
+package io.whinjunction.entry;
+
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+
+import io.whinjunction.admission.AdmissionQueue;
+import io.whinjunction.admission.AdmissionQueue.Ticket;
+import io.whinjunction.configuration.Team;
+import io.whinjunction.http.server.Exchange;
+import io.whinjunction.outcome.Refusal;
+import io.whinjunction.outcome.Refusal.Code;
+
+/**
+ * Takes a request through its team's limit and the queue. Stateless.
+ */
+final class Admission {
+
+	/** How often a waiting request looks whether its caller has gone. */
+	private static final long LOOK_EVERY_MS = 100;
+
+	private Admission() {
+	}
+
+	/**
+	 * Waits until the request may run.
+	 * @param parts the entry
+	 * @param queue the queue
+	 * @param team the team
+	 * @param budgetMs how long it may wait
+	 * @param exchange the request
+	 * @return {@code null} where it may run, and {@link AdmissionQueue#leave} has to
+	 * follow; else the refusal
+	 */
+	static Refusal enter(EntryParts parts, AdmissionQueue queue, Team team, long budgetMs, Exchange exchange) {
+		long waitMs = parts.limits().tryStart(team, parts.members().alive().size(), parts.ticker().nowMs());
+		if (waitMs > 0) {
+			return Refusal.temporary(Code.TEAM_LIMIT, "Team '" + team.name() + "' is above its rate.", seconds(waitMs));
+		}
+		Ticket ticket = queue.enter(team.name(), team.weight(), budgetMs);
+		return switch (ticket) {
+			case Ticket.Admitted ignored -> null;
+			case Ticket.Refused refused when refused.full() -> Refusal.temporary(Code.OVERLOADED,
+					"More work is waiting than can be done.", seconds(refused.comeBackMs()));
+			case Ticket.Refused refused -> Refusal.temporary(Code.DEADLINE, "The answer would come after its deadline.",
+					seconds(refused.comeBackMs()));
+			case Ticket.Waiting waiting -> await(parts, queue, team, budgetMs, exchange, waiting);
+		};
+	}
+
+	private static Refusal await(EntryParts parts, AdmissionQueue queue, Team team, long budgetMs, Exchange exchange,
+			Ticket.Waiting waiting) {
+		long endMs = parts.ticker().nowMs() + budgetMs;
+		while (true) {
+			long leftMs = endMs - parts.ticker().nowMs();
+			try {
+				waiting.turn().get(Math.max(1, Math.min(LOOK_EVERY_MS, leftMs)), TimeUnit.MILLISECONDS);
+				return null;
+			}
+			catch (TimeoutException ex) {
+				boolean over = leftMs <= 0 || exchange.gone();
+				if (over && queue.giveUp(team.name(), waiting)) {
+					return Refusal.temporary(Code.DEADLINE, "The request waited until its deadline.", 1);
+				}
+			}
+			catch (InterruptedException ex) {
+				Thread.currentThread().interrupt();
+				return queue.giveUp(team.name(), waiting) ? Refusal.temporary(Code.STOPPING, "Stopping.", 1) : null;
+			}
+			catch (ExecutionException ex) {
+				throw new IllegalStateException(ex);
+			}
+		}
+	}
+
+	private static int seconds(long milliseconds) {
+		return (int) Math.max(1, (milliseconds + 999) / 1000);
+	}
+
+}
--- /dev/null
+++ b/whinjunction-entry/src/main/java/io/whinjunction/entry/DraftBody.java
@@ -0,0 +1,129 @@
+package io.whinjunction.entry;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.CharacterCodingException;
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+
+import io.whinjunction.configuration.Json;
+import io.whinjunction.configuration.NearestMatch;
+import tools.jackson.core.JacksonException;
+import tools.jackson.databind.JsonNode;
+
+/**
+ * The body of a draft request, checked. Immutable.
+ *
+ * @param model the service asked for
+ * @param prompt the prompt
+ * @param maxTokens how many tokens
+ * @param stream whether tokens are sent as they come
+ * @param ignored fields that were understood but have no effect
+ */
+record DraftBody(String model, String prompt, int maxTokens, boolean stream, Set<String> ignored) {
+
+	private static final int DEFAULT_TOKENS = 16;
+
+	private static final Set<String> FIELDS = Set.of("model", "max_tokens", "stream");
+
+	/** Engines of today take no sampling settings; the answer names what was ignored. */
+	private static final Set<String> IGNORED = Set.of("temperature", "top_p", "seed", "user");
+
+	/**
+	 * Reads a body.
+	 * @param bytes the body
+	 * @param chat whether messages stand in place of the prompt
+	 * @param maxPromptChars the longest prompt
+	 * @param maxDraftTokens the most tokens
+	 * @return the request
+	 * @throws BadBody where it cannot be read, with a sentence for the caller
+	 */
+	static DraftBody parse(byte[] bytes, boolean chat, int maxPromptChars, int maxDraftTokens) throws BadBody {
+		JsonNode node = tree(bytes);
+		String textField = chat ? "messages" : "prompt";
+		Set<String> ignored = new LinkedHashSet<>();
+		for (String field : node.propertyNames()) {
+			if (IGNORED.contains(field)) {
+				ignored.add(field);
+			}
+			else if (!FIELDS.contains(field) && !field.equals(textField)) {
+				throw new BadBody("The field '" + field + "' is not known"
+						+ NearestMatch.hint(field, List.of("max_tokens", textField, "model", "stream")));
+			}
+		}
+		String prompt = chat ? messages(node.get("messages")) : text(node, "prompt");
+		if (prompt.length() > maxPromptChars) {
+			throw new BadBody(
+					"The prompt has " + prompt.length() + " characters; at most " + maxPromptChars + " are taken.");
+		}
+		JsonNode stream = node.path("stream");
+		if (!stream.isMissingNode() && !stream.isBoolean()) {
+			throw new BadBody("'stream' is '" + stream + "'; true or false are taken.");
+		}
+		return new DraftBody(text(node, "model"), prompt, maxTokens(node, maxDraftTokens), stream.asBoolean(false),
+				ignored);
+	}
+
+	private static JsonNode tree(byte[] bytes) throws BadBody {
+		try {
+			String text = StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(bytes)).toString();
+			JsonNode node = Json.MAPPER.readTree(text);
+			if (!node.isObject()) {
+				throw new BadBody("The body is not a JSON object.");
+			}
+			return node;
+		}
+		catch (CharacterCodingException ex) {
+			throw new BadBody("The body is not valid UTF-8.");
+		}
+		catch (JacksonException ex) {
+			// The library's message would quote the caller's data; its place is enough.
+			String place = (ex.getLocation() != null)
+					? " at line " + ex.getLocation().getLineNr() + ", column " + ex.getLocation().getColumnNr() : "";
+			throw new BadBody("The body is not JSON, or is nested deeper than " + Json.MAX_DEPTH + place + ".");
+		}
+	}
+
+	private static String text(JsonNode node, String field) throws BadBody {
+		JsonNode value = node.path(field);
+		if (!value.isString() || value.stringValue().isEmpty()) {
+			throw new BadBody("'" + field + "' has to be a text that is not empty.");
+		}
+		return value.stringValue();
+	}
+
+	private static String messages(JsonNode messages) throws BadBody {
+		if (messages == null || !messages.isArray() || messages.isEmpty()) {
+			throw new BadBody("'messages' has to be a list that is not empty.");
+		}
+		StringBuilder prompt = new StringBuilder();
+		for (JsonNode message : messages) {
+			prompt.append(text(message, "role")).append(": ").append(text(message, "content")).append('\n');
+		}
+		return prompt.toString();
+	}
+
+	private static int maxTokens(JsonNode node, int most) throws BadBody {
+		JsonNode value = node.path("max_tokens");
+		if (value.isMissingNode()) {
+			return Math.min(DEFAULT_TOKENS, most);
+		}
+		if (!value.isIntegralNumber() || value.longValue() < 1 || value.longValue() > most) {
+			throw new BadBody("'max_tokens' is '" + value + "'; a whole number from 1 to " + most + " is taken.");
+		}
+		return value.intValue();
+	}
+
+	/**
+	 * The body cannot be read.
+	 */
+	static final class BadBody extends Exception {
+
+		BadBody(String sentence) {
+			super(sentence);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/whinjunction-entry/src/main/java/io/whinjunction/entry/Gate.java
@@ -0,0 +1,148 @@
+package io.whinjunction.entry;
+
+import java.util.Optional;
+
+import io.whinjunction.configuration.Configuration;
+import io.whinjunction.configuration.ConfigurationHolder;
+import io.whinjunction.configuration.Freshness;
+import io.whinjunction.configuration.NearestMatch;
+import io.whinjunction.configuration.Service;
+import io.whinjunction.configuration.Team;
+import io.whinjunction.http.server.Request;
+import io.whinjunction.outcome.Refusal;
+import io.whinjunction.outcome.Refusal.Code;
+import io.whinjunction.place.PlaceRules;
+import io.whinjunction.time.Ticker;
+
+/**
+ * Decides by a request's head whether this entry may take it.
+ * <p>
+ * Invariant: nothing passes while this entry cannot tell whether its configuration is
+ * current, and no team's data passes an entry outside the team's places. Safe for all
+ * threads.
+ */
+final class Gate {
+
+	private static final int RETRY_AFTER_S = 1;
+
+	private final ConfigurationHolder configuration;
+
+	private final Freshness freshness;
+
+	private final String failureDomain;
+
+	private final Ticker ticker;
+
+	private volatile View view = new View(Configuration.EMPTY);
+
+	private volatile boolean ready = true;
+
+	private volatile boolean stopping;
+
+	Gate(ConfigurationHolder configuration, Freshness freshness, String failureDomain, Ticker ticker) {
+		this.configuration = configuration;
+		this.freshness = freshness;
+		this.failureDomain = failureDomain;
+		this.ticker = ticker;
+	}
+
+	void notReady() {
+		this.ready = false;
+	}
+
+	boolean ready() {
+		return this.ready;
+	}
+
+	void stop() {
+		this.stopping = true;
+	}
+
+	Verdict check(Request head) {
+		if (this.stopping) {
+			return refused(Refusal.temporary(Code.STOPPING, "This entry is stopping; ask another one.", RETRY_AFTER_S));
+		}
+		if (!this.freshness.mayServe(this.ticker.nowMs())) {
+			return refused(Refusal.temporary(Code.CONFIGURATION_UNCONFIRMED,
+					"This entry cannot tell whether its configuration is current; ask another one.", RETRY_AFTER_S));
+		}
+		View current = view();
+		Optional<Team> team = current.keys.teamOf(head.header("authorization"));
+		if (team.isEmpty()) {
+			return refused(
+					Refusal.permanent(Code.UNKNOWN_KEY, "No team has this key; send 'authorization: Bearer KEY'."));
+		}
+		if (!current.rules.permits(team.get(), this.failureDomain)) {
+			return refused(Refusal.permanent(Code.PLACE_NOT_PERMITTED, "Data of team '" + team.get().name()
+					+ "' must not be in '" + this.failureDomain + "', where this entry is."));
+		}
+		return new Verdict.Passed(current.configuration, team.get(), current.rules);
+	}
+
+	static Refusal unknownService(Verdict.Passed passed, String name) {
+		return Refusal.permanent(Code.UNKNOWN_SERVICE, "Team '" + passed.team().name() + "' has no service '" + name
+				+ "'" + NearestMatch.hint(name, passed.team().services().stream().sorted().toList()));
+	}
+
+	private View view() {
+		View current = this.view;
+		Configuration newest = this.configuration.configuration();
+		if (current.configuration != newest) {
+			current = new View(newest);
+			this.view = current;
+		}
+		return current;
+	}
+
+	private static Verdict refused(Refusal refusal) {
+		return new Verdict.Refused(refusal);
+	}
+
+	private static final class View {
+
+		private final Configuration configuration;
+
+		private final KeyRing keys;
+
+		private final PlaceRules rules;
+
+		View(Configuration configuration) {
+			this.configuration = configuration;
+			this.keys = new KeyRing(configuration);
+			this.rules = new PlaceRules(configuration);
+		}
+
+	}
+
+	/**
+	 * The decision.
+	 */
+	sealed interface Verdict {
+
+		/**
+		 * The request may go on.
+		 *
+		 * @param configuration the configuration that it was judged by
+		 * @param team whose it is
+		 * @param rules the place rules
+		 */
+		record Passed(Configuration configuration, Team team, PlaceRules rules) implements Verdict {
+
+			Optional<Service> service(String name) {
+				return this.team.services().contains(name)
+						? Optional.ofNullable(this.configuration.services().get(name)) : Optional.empty();
+			}
+
+		}
+
+		/**
+		 * The request did not run.
+		 *
+		 * @param refusal why
+		 */
+		record Refused(Refusal refusal) implements Verdict {
+		}
+
+	}
+
+}
--- /dev/null
+++ b/whinjunction-entry/src/main/java/io/whinjunction/entry/RequestRecord.java
@@ -0,0 +1,110 @@
+package io.whinjunction.entry;
+
+import java.util.List;
+
+import com.google.common.flogger.FluentLogger;
+import io.opentelemetry.api.trace.Span;
+import io.whinjunction.configuration.Json;
+import io.whinjunction.outcome.Outcome;
+import io.whinjunction.outcome.Refusal;
+import io.whinjunction.session.Hop;
+import tools.jackson.databind.node.ArrayNode;
+import tools.jackson.databind.node.ObjectNode;
+
+/**
+ * Gathers what is said about one request when it ends: a log line, metrics, the span's
+ * end and the entry in the decision log. Confined to the request's thread.
+ */
+final class RequestRecord {
+
+	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+	private final EntryParts parts;
+
+	private final String requestId;
+
+	private final Span span;
+
+	private final long startedAtMs;
+
+	private final ArrayNode hops = Json.MAPPER.createArrayNode();
+
+	private String team = "none";
+
+	private String service = "none";
+
+	private long revision;
+
+	RequestRecord(EntryParts parts, String requestId, Span span) {
+		this.parts = parts;
+		this.requestId = requestId;
+		this.span = span;
+		this.startedAtMs = parts.ticker().nowMs();
+	}
+
+	String requestId() {
+		return this.requestId;
+	}
+
+	Span span() {
+		return this.span;
+	}
+
+	long startedAtMs() {
+		return this.startedAtMs;
+	}
+
+	void passed(Gate.Verdict.Passed passed) {
+		this.team = passed.team().name();
+		this.revision = passed.configuration().revision();
+	}
+
+	void service(String name) {
+		this.service = name;
+	}
+
+	void hops(List<Hop> taken) {
+		for (Hop hop : taken) {
+			ObjectNode node = this.hops.addObject();
+			node.put("attempt", hop.attempt());
+			node.put("upstream", hop.upstream());
+			node.put("failure_domain", hop.failureDomain());
+			node.put("layers", (hop.range() != null) ? hop.range().toString() : "");
+			node.put("generation", hop.generation());
+			node.put("steps", hop.steps());
+			node.put("millis", hop.millis());
+			node.put("end", hop.end());
+		}
+	}
+
+	void end(Outcome outcome) {
+		Refusal refusal = switch (outcome) {
+			case Outcome.Answered ignored -> null;
+			case Outcome.NotRun notRun -> notRun.refusal();
+			case Outcome.Unknown unknown -> unknown.refusal();
+		};
+		String code = (refusal != null) ? refusal.code().wireName() : "ok";
+		long tookMs = this.parts.ticker().nowMs() - this.startedAtMs;
+		this.parts.metrics().ended(this.service, this.team, outcome.headerValue(), code);
+		this.span.setAttribute("whin.outcome", outcome.headerValue()).setAttribute("whin.code", code);
+		this.span.end();
+		ObjectNode node = Json.object();
+		node.put("request_id", this.requestId);
+		node.put("entry", this.parts.settings().id());
+		node.put("failure_domain", this.parts.settings().failureDomain());
+		node.put("team", this.team);
+		node.put("service", this.service);
+		node.put("revision", this.revision);
+		node.put("outcome", outcome.headerValue());
+		node.put("code", code);
+		node.put("why", (refusal != null) ? refusal.sentence() : "");
+		node.put("took_ms", tookMs);
+		node.set("hops", this.hops);
+		this.parts.decisions().put(this.requestId, node.toString());
+		logger.atInfo()
+			.log("request %s team=%s service=%s failure_domain=%s outcome=%s code=%s took_ms=%d hops=%d",
+					this.requestId, this.team, this.service, this.parts.settings().failureDomain(),
+					outcome.headerValue(), code, tookMs, this.hops.size());
+	}
+
+}
--- /dev/null
+++ b/whinjunction-entry/src/main/java/io/whinjunction/entry/UpstreamWatch.java
@@ -0,0 +1,97 @@
+package io.whinjunction.entry;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+
+import io.whinjunction.configuration.Configuration;
+import io.whinjunction.configuration.ConfigurationHolder;
+import io.whinjunction.configuration.Service;
+import io.whinjunction.engine.EngineClient;
+import io.whinjunction.engine.EngineClient.EngineReport;
+import io.whinjunction.pipeline.Upstream;
+import io.whinjunction.pipeline.UpstreamTable;
+import io.whinjunction.platform.ObjectStore;
+import io.whinjunction.platform.ObjectStore.Instance;
+import io.whinjunction.platform.ObjectStore.Instances;
+
+/**
+ * Keeps the table of upstreams: the instance list says who exists, engines say what they
+ * hold.
+ * <p>
+ * Invariant: while the platform is down the last list stands, and engines are still
+ * asked; one that does not answer keeps its last report, since only a step proves it
+ * dead. Confined to one thread.
+ */
+final class UpstreamWatch {
+
+	private final ObjectStore store;
+
+	private final EngineClient engines;
+
+	private final ConfigurationHolder configuration;
+
+	private final UpstreamTable table;
+
+	private final Map<String, EngineReport> reports = new ConcurrentHashMap<>();
+
+	private List<Instance> instances = List.of();
+
+	UpstreamWatch(ObjectStore store, EngineClient engines, ConfigurationHolder configuration, UpstreamTable table) {
+		this.store = store;
+		this.engines = engines;
+		this.configuration = configuration;
+		this.table = table;
+	}
+
+	/**
+	 * Looks once.
+	 * @return whether the platform answered
+	 */
+	boolean step() {
+		Instances listed = this.store.instances();
+		if (listed instanceof Instances.Listed list) {
+			this.instances = list.instances();
+		}
+		askEngines();
+		List<Upstream> upstreams = new ArrayList<>();
+		for (Instance instance : this.instances) {
+			upstreams.add(upstream(instance));
+		}
+		this.table.replace(upstreams);
+		return listed instanceof Instances.Listed;
+	}
+
+	private void askEngines() {
+		Configuration current = this.configuration.configuration();
+		this.reports.keySet().retainAll(this.instances.stream().map(Instance::id).toList());
+		try (ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor()) {
+			for (Instance instance : this.instances) {
+				if (current.services().get(instance.service()) instanceof Service.Model) {
+					executor.execute(() -> {
+						EngineReport report = this.engines.report(instance.address());
+						if (report != null) {
+							this.reports.put(instance.id(), report);
+						}
+					});
+				}
+			}
+		}
+	}
+
+	private Upstream upstream(Instance instance) {
+		EngineReport report = this.reports.get(instance.id());
+		if (report == null) {
+			return new Upstream(instance.id(), instance.service(), instance.address(), instance.failureDomain(), null,
+					0, 0, 0, instance.leaving());
+		}
+		boolean leaving = instance.leaving() || report.leaving();
+		return new Upstream(instance.id(), instance.service(), instance.address(), instance.failureDomain(),
+				report.loading() ? null : report.range(), report.generation(), report.tokensPerSecond(),
+				report.running(), leaving);
+	}
+
+}
--- /dev/null
+++ b/whinjunction-entry/src/main/java/io/whinjunction/entry/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * One entry: callers' requests in, answers out.
+ */
+package io.whinjunction.entry;
--- /dev/null
+++ b/whinjunction-protocol/src/main/thrift/peer.thrift
@@ -0,0 +1,54 @@
+/* Messages between entries. Generate with whinjunction-protocol/generate. */
+namespace java io.whinjunction.protocol.generated
+
+enum MemberStatus { ALIVE = 1, SUSPECT = 2, DEAD = 3, LEAVING = 4 }
+
+/* What one member believes of another; the higher incarnation wins. */
+struct MemberRecord {
+  1: required string id
+  2: required string address
+  3: required string failureDomain
+  4: required i64 incarnation
+  5: required MemberStatus status
+}
+
+/* Bounded in size whatever the fleet's: only recent changes travel. */
+struct Digest {
+  1: required MemberRecord sender
+  2: required i64 revision
+  /* Age of the newest proof that this revision is the platform's; -1: none. */
+  3: required i64 confirmationAgeMs
+  4: required list<MemberRecord> changes
+  5: required list<string> leavingUpstreams
+}
+
+/* The whole table, asked for at start and now and then. */
+struct MemberTable {
+  1: required list<MemberRecord> members
+}
+
+struct ManifestDocument {
+  1: required i64 revision
+  2: required binary document
+}
+
+struct LimitDemand {
+  1: required string member
+  2: required i64 revision
+  /* Requests a second that the member saw, by team. */
+  3: required map<string, double> demandPerSecond
+}
+
+struct LimitGrant {
+  1: required i64 validMs
+  2: required map<string, double> sharePerSecond
+}
+
+service Peer {
+  Digest exchange(1: Digest digest)
+  MemberTable members()
+  ManifestDocument manifest()
+  /* Offers a manifest that the platform has accepted; answers the revision held afterwards. */
+  i64 offerManifest(1: ManifestDocument manifest)
+  LimitGrant lend(1: LimitDemand demand)
+}
