--- /dev/null
+++ b/whinjunction-core/src/test/java/io/whinjunction/admission/AdmissionQueueTests.java
@@ -0,0 +1,109 @@
+package io.whinjunction.admission;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import io.whinjunction.admission.AdmissionQueue.Ticket;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link AdmissionQueue}.
+ */
+class AdmissionQueueTests {
+
+	private static final long PLENTY_MS = 1_000_000;
+
+	@Test
+	void aFullQueueRefusesAtOnceAndSaysWhenToComeBack() {
+		AdmissionQueue queue = new AdmissionQueue(1, 2);
+		queue.enter("a", 1, PLENTY_MS);
+		queue.enter("a", 1, PLENTY_MS);
+		Ticket ticket = queue.enter("a", 1, PLENTY_MS);
+		assertThat(ticket).isInstanceOfSatisfying(Ticket.Refused.class, (refused) -> {
+			assertThat(refused.full()).isTrue();
+			assertThat(refused.comeBackMs()).isPositive();
+		});
+	}
+
+	// A large team has filled its part of the queue. A small team's request must neither
+	// be refused for that nor wait behind all of the large team's.
+	@Test
+	void aSmallTeamPassesTheQueueOfALargeOne() {
+		AdmissionQueue queue = new AdmissionQueue(2, 20);
+		for (int i = 0; i < 30; i++) {
+			queue.enter("large", 1, PLENTY_MS);
+		}
+		Ticket.Waiting small = (Ticket.Waiting) queue.enter("small", 1, PLENTY_MS);
+		queue.leave("large", 10);
+		assertThat(small.turn()).isDone();
+	}
+
+	@Test
+	void aRequestThatCannotMakeItsDeadlineIsRefusedAtOnce() {
+		AdmissionQueue queue = new AdmissionQueue(1, 100);
+		queue.enter("a", 1, PLENTY_MS);
+		queue.leave("a", 1000);
+		queue.enter("a", 1, PLENTY_MS);
+		queue.enter("a", 1, PLENTY_MS);
+		assertThat(queue.enter("b", 1, 500)).isInstanceOfSatisfying(Ticket.Refused.class,
+				(refused) -> assertThat(refused.full()).isFalse());
+	}
+
+	@Property(seed = "51")
+	void runningStaysWithinTheSlotsAndNobodyIsForgotten(
+			@ForAll @Size(max = 200) List<@IntRange(min = 0, max = 5) Integer> actions) {
+		AdmissionQueue queue = new AdmissionQueue(3, 10);
+		Deque<String> running = new ArrayDeque<>();
+		Map<Ticket.Waiting, String> waiting = new HashMap<>();
+		for (int action : actions) {
+			act(queue, running, waiting, action);
+			assertThat(queue.running()).isEqualTo(running.size()).isLessThanOrEqualTo(3);
+			assertThat(queue.waiting()).isEqualTo(waiting.size()).isLessThanOrEqualTo(10);
+		}
+		while (!running.isEmpty()) {
+			leave(queue, running, waiting);
+		}
+		assertThat(waiting).isEmpty();
+		assertThat(queue.running()).isZero();
+	}
+
+	private static void act(AdmissionQueue queue, Deque<String> running, Map<Ticket.Waiting, String> waiting,
+			int action) {
+		if (action < 3) {
+			String team = "team-" + action;
+			switch (queue.enter(team, 1, PLENTY_MS)) {
+				case Ticket.Admitted ignored -> running.add(team);
+				case Ticket.Waiting ticket -> waiting.put(ticket, team);
+				case Ticket.Refused ignored -> {
+				}
+			}
+		}
+		else if (action == 3 && !waiting.isEmpty()) {
+			Ticket.Waiting ticket = new ArrayList<>(waiting.keySet()).get(0);
+			assertThat(queue.giveUp(waiting.remove(ticket), ticket)).isTrue();
+		}
+		else if (!running.isEmpty()) {
+			leave(queue, running, waiting);
+		}
+	}
+
+	private static void leave(AdmissionQueue queue, Deque<String> running, Map<Ticket.Waiting, String> waiting) {
+		queue.leave(running.poll(), 10);
+		for (Ticket.Waiting ticket : List.copyOf(waiting.keySet())) {
+			if (ticket.turn().isDone()) {
+				running.add(waiting.remove(ticket));
+			}
+		}
+	}
+
+}
--- /dev/null
+++ b/whinjunction-core/src/test/java/io/whinjunction/limit/TeamLimitsTests.java
@@ -0,0 +1,92 @@
+package io.whinjunction.limit;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+
+import io.whinjunction.configuration.Team;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link TeamLimits} and {@link LimitOwner}.
+ */
+class TeamLimitsTests {
+
+	private static final int ENTRIES = 8;
+
+	private static final double RATE = 80;
+
+	private static final Team TEAM = new Team("agencia", Set.of(), Set.of(), Set.of("poa"), RATE, 1);
+
+	@Test
+	void aRefusedRequestIsToldWhenToComeBack() {
+		TeamLimits limits = new TeamLimits();
+		assertThat(limits.tryStart(TEAM, ENTRIES, 0)).isZero();
+		long waitMs = limits.tryStart(TEAM, ENTRIES, 0);
+		assertThat(waitMs).isPositive();
+		assertThat(limits.tryStart(TEAM, ENTRIES, waitMs)).isZero();
+	}
+
+	// All of a team's callers come through one entry. With equal parts alone it would get
+	// an eighth of the rate; the lent half brings it above that.
+	@Test
+	void theLentHalfFollowsTheDemand() {
+		TeamLimits limits = new TeamLimits();
+		LimitOwner owner = new LimitOwner();
+		int started = 0;
+		for (long nowMs = 0; nowMs < 20_000; nowMs += 5) {
+			if (nowMs % LimitShares.RENEW_MS == 0) {
+				double demand = limits.demandBeyondBase(TEAM, ENTRIES, nowMs);
+				limits.lent(TEAM.name(), owner.lend(TEAM.name(), RATE, "entry-1", demand, nowMs), nowMs);
+			}
+			started += (limits.tryStart(TEAM, ENTRIES, nowMs) == 0) ? 1 : 0;
+		}
+		assertThat(started / 20.0).isBetween(RATE * 0.45, RATE);
+	}
+
+	// Owners die, and two entries may each take themselves for the owner for a while: the
+	// new one must not lend again what the old one has lent, or a team would run above
+	// its rate with every failure.
+	@Property(seed = "41")
+	void theTeamStaysWithinItsRateWhenItsOwnerIsReplaced(@ForAll @IntRange(min = 1, max = 9) int replacedAtS,
+			@ForAll @IntRange(min = 0, max = 1000) int seed) {
+		Random random = new Random(seed);
+		List<TeamLimits> entries = new ArrayList<>();
+		for (int i = 0; i < ENTRIES; i++) {
+			entries.add(new TeamLimits());
+		}
+		LimitOwner owner = new LimitOwner();
+		int started = 0;
+		for (long nowMs = 0; nowMs < 10_000; nowMs += 10) {
+			if (nowMs == replacedAtS * 1000L) {
+				owner = new LimitOwner();
+			}
+			for (int i = 0; i < ENTRIES; i++) {
+				TeamLimits entry = entries.get(i);
+				if (nowMs % LimitShares.RENEW_MS == 0) {
+					double demand = entry.demandBeyondBase(TEAM, ENTRIES, nowMs);
+					entry.lent(TEAM.name(), owner.lend(TEAM.name(), RATE, "entry-" + i, demand, nowMs), nowMs);
+				}
+				if (random.nextInt(4) < 1 + i % 3) {
+					started += (entry.tryStart(TEAM, ENTRIES, nowMs) == 0) ? 1 : 0;
+				}
+			}
+		}
+		// A bucket holds one second's worth at the most, which may come on top once.
+		assertThat(started).isLessThanOrEqualTo((int) (RATE * 11) + ENTRIES);
+	}
+
+	@Test
+	void anEntryBelowItsBaseShareAsksNobody() {
+		TeamLimits limits = new TeamLimits();
+		limits.tryStart(TEAM, ENTRIES, 0);
+		assertThat(limits.demandBeyondBase(TEAM, ENTRIES, 1000)).isZero();
+	}
+
+}
--- /dev/null
+++ b/whinjunction-core/src/test/java/io/whinjunction/pipeline/UpstreamTableTests.java
@@ -0,0 +1,60 @@
+package io.whinjunction.pipeline;
+
+import java.util.List;
+
+import io.whinjunction.configuration.LayerRange;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link UpstreamTable} and {@link UpstreamLoad}.
+ */
+class UpstreamTableTests {
+
+	private static final LayerRange RANGE = new LayerRange(0, 8);
+
+	private final UpstreamTable table = new UpstreamTable();
+
+	// The engine itself says that it leaves; the instance list lags and still calls it
+	// live. New work would go to an engine that is about to stop.
+	@Test
+	void aLaggingListDoesNotBringALeavingUpstreamBack() {
+		this.table.replace(List.of(upstream("a", false)));
+		this.table.markLeaving("a");
+		this.table.replace(List.of(upstream("a", false)));
+		assertThat(this.table.holding("llm", RANGE)).isEmpty();
+		assertThat(this.table.leavingIds()).containsExactly("a");
+	}
+
+	@Test
+	void theFirstSourceThatSaysLeavingCounts() {
+		this.table.replace(List.of(upstream("a", true), upstream("b", false)));
+		assertThat(this.table.holding("llm", RANGE)).extracting(Upstream::id).containsExactly("b");
+	}
+
+	@Test
+	void workInFlightIsKeptWhenTheListIsReadAgain() {
+		this.table.replace(List.of(upstream("a", false)));
+		this.table.load("a").start();
+		this.table.replace(List.of(upstream("a", false)));
+		assertThat(this.table.load("a").inFlight()).isEqualTo(1);
+	}
+
+	@Test
+	void aFailedUpstreamPausesLongerEachTimeUntilItAnswers() {
+		UpstreamLoad load = this.table.load("a");
+		load.failed(0);
+		assertThat(load.paused(499)).isTrue();
+		assertThat(load.paused(500)).isFalse();
+		load.failed(500);
+		assertThat(load.paused(1499)).isTrue();
+		load.succeeded(1);
+		assertThat(load.paused(1499)).isFalse();
+	}
+
+	private static Upstream upstream(String id, boolean leaving) {
+		return new Upstream(id, "llm", "h:1", "poa-a", RANGE, 1, 100, 0, leaving);
+	}
+
+}
