An engine's refusal is no proof that a step has not run

Cause: DraftSession took a 4xx from an engine for "not sent". Where something on the way doubles the first step, the engine runs one copy and refuses the other; the caller was told "not run" although a step had run. Ruled out: the step ledger (tokens were right) and the retry budget. Change: StepResult.NotSent (no byte written) stands apart from Refused; only the former keeps "not run".

--- a/whinjunction-core/src/main/java/io/whinjunction/engine/EngineClient.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/engine/EngineClient.java
@@ -76,7 +76,16 @@
 		}
 
 		/**
-		 * The engine said that it won't run the step.
+		 * No byte of the step was written: the engine cannot have run it.
+		 *
+		 * @param reason why
+		 */
+		record NotSent(String reason) implements StepResult {
+		}
+
+		/**
+		 * The engine said that it won't run the step. This is no proof that it has not
+		 * run it: a step that something on the way doubled ran first and is refused then.
 		 *
 		 * @param reason why
 		 */
--- a/whinjunction-core/src/main/java/io/whinjunction/engine/HttpEngineClient.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/engine/HttpEngineClient.java
@@ -33,7 +33,7 @@
 			case CallResult.Response response when response.status() == 200 -> decode(response);
 			case CallResult.Response response when response.status() < 500 -> new StepResult.Refused(response.text());
 			case CallResult.Response response -> new StepResult.Failed("status " + response.status(), false);
-			case CallResult.NotSent notSent -> new StepResult.Refused(notSent.reason());
+			case CallResult.NotSent notSent -> new StepResult.NotSent(notSent.reason());
 			case CallResult.Lost lost -> new StepResult.Failed(lost.reason(), lost.silent());
 		};
 	}
--- a/whinjunction-core/src/main/java/io/whinjunction/session/DraftSession.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/session/DraftSession.java
@@ -184,7 +184,11 @@
 				}
 				fail(stage, recorder, tookMs, "answered another step");
 			}
-			case StepResult.Refused refused -> fail(stage, recorder, tookMs, "refused: " + refused.reason());
+			case StepResult.NotSent notSent -> fail(stage, recorder, tookMs, "not sent: " + notSent.reason());
+			case StepResult.Refused refused -> {
+				this.touched.add(stage);
+				fail(stage, recorder, tookMs, "refused: " + refused.reason());
+			}
 			case StepResult.Failed failed -> {
 				this.touched.add(stage);
 				fail(stage, recorder, tookMs, failed.reason());
--- /dev/null
+++ b/whinjunction-entry/src/test/java/io/whinjunction/promises/AtMostOnceTests.java
@@ -0,0 +1,197 @@
+package io.whinjunction.promises;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import io.whinjunction.once.ActionClaims;
+import io.whinjunction.once.ActionClaims.Claimed;
+import io.whinjunction.once.ActionName;
+import io.whinjunction.once.StoredAnswer;
+import io.whinjunction.platform.ObjectStore;
+import io.whinjunction.standins.FakeObjectStore;
+import io.whinjunction.standins.FakeObjectStore.Fault;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Promise 4: an action that must not be repeated runs at most once.
+ */
+class AtMostOnceTests {
+
+	private static final ActionName ACTION = new ActionName("agencia", "booking-api", "friday-20h");
+
+	private static final StoredAnswer ANSWER = new StoredAnswer(201, List.of(Map.entry("x-booking", "1")),
+			new byte[] { 1, 2 });
+
+	private final FakeObjectStore store = new FakeObjectStore();
+
+	// The caller repeats its action through several entries at once. Between any two
+	// platform calls of one entry another one runs; writes take effect and lose their
+	// replies, the platform goes down and comes back, entries die after claim or send.
+	@Property(seed = "81", tries = 3000)
+	void theActionRunsAtMostOnceWhateverEntriesAndThePlatformDo(@ForAll @IntRange(min = 0, max = 1_000_000) int seed) {
+		World world = new World(seed);
+		for (int i = 0; i < 6; i++) {
+			world.request();
+		}
+		assertThat(world.runs).hasValueLessThanOrEqualTo(1);
+	}
+
+	// The claim's write took effect but its reply was lost. The entry must know its own
+	// write again, or a booking would be refused for good although nobody runs it.
+	@Test
+	void aClaimWhoseReplyWasLostIsRecognisedAsOnesOwn() {
+		this.store.fault(Fault.LOST_REPLY_ONCE);
+		assertThat(claims("a").claim(ACTION, "h")).isInstanceOf(Claimed.Mine.class);
+		assertThat(claims("b").claim(ACTION, "h")).isInstanceOf(Claimed.InDoubt.class);
+	}
+
+	// The write took effect, its reply was lost and the platform went down: the caller is
+	// told "not run". When it repeats at the same entry, that entry takes its claim back.
+	@Test
+	void aClaimGivenUpUnsentIsTakenBackByItsOwnEntryOnly() {
+		ActionClaims claims = claims("a");
+		this.store.fault(Fault.LOST_REPLY_THEN_OUTAGE);
+		assertThat(claims.claim(ACTION, "h")).isInstanceOf(Claimed.StoreDown.class);
+		this.store.fault(Fault.NONE);
+		assertThat(claims("b").claim(ACTION, "h")).isInstanceOf(Claimed.InDoubt.class);
+		assertThat(claims.claim(ACTION, "h")).isInstanceOf(Claimed.Mine.class);
+		assertThat(claims.claim(ACTION, "h")).isInstanceOf(Claimed.InDoubt.class);
+	}
+
+	@Test
+	void aClaimGivenUpUnsentIsSweptSoThatOtherEntriesCanRunTheAction() {
+		ActionClaims claims = claims("a");
+		this.store.fault(Fault.LOST_REPLY_THEN_OUTAGE);
+		claims.claim(ACTION, "h");
+		this.store.fault(Fault.NONE);
+		claims.sweepGivenUp();
+		assertThat(claims("b").claim(ACTION, "h")).isInstanceOf(Claimed.Mine.class);
+	}
+
+	@Test
+	void aRepeatReturnsTheFirstAnswer() {
+		ActionClaims claims = claims("a");
+		Claimed.Mine mine = (Claimed.Mine) claims.claim(ACTION, "h");
+		assertThat(claims.answered(mine.claim(), ANSWER)).isTrue();
+		assertThat(claims("b").claim(ACTION, "h")).isInstanceOfSatisfying(Claimed.Answered.class, (answered) -> {
+			assertThat(answered.answer().status()).isEqualTo(201);
+			assertThat(answered.answer().body()).containsExactly(1, 2);
+			assertThat(answered.answer().headers()).containsExactlyElementsOf(ANSWER.headers());
+		});
+	}
+
+	@Test
+	void aKeyUsedWithAnotherBodyIsRefused() {
+		claims("a").claim(ACTION, "h");
+		assertThat(claims("b").claim(ACTION, "other")).isInstanceOf(Claimed.OtherBody.class);
+	}
+
+	@Test
+	void withThePlatformDownNothingIsClaimed() {
+		this.store.fault(Fault.OUTAGE);
+		assertThat(claims("a").claim(ACTION, "h")).isInstanceOf(Claimed.StoreDown.class);
+	}
+
+	@Test
+	void teamsAndServicesDoNotShareKeys() {
+		claims("a").claim(ACTION, "h");
+		assertThat(claims("a").claim(new ActionName("other", "booking-api", "friday-20h"), "h"))
+			.isInstanceOf(Claimed.Mine.class);
+	}
+
+	private ActionClaims claims(String entry) {
+		AtomicInteger count = new AtomicInteger();
+		return new ActionClaims(this.store,
+				() -> entry + count.incrementAndGet() + "-" + System.identityHashCode(count), () -> 0);
+	}
+
+	/**
+	 * Entries that repeat one action on one platform.
+	 */
+	private static final class World {
+
+		private static final int MAX_DEPTH = 4;
+
+		private final Random random;
+
+		private final FakeObjectStore store = new FakeObjectStore();
+
+		private final List<ActionClaims> entries = new ArrayList<>();
+
+		private final AtomicInteger runs = new AtomicInteger();
+
+		private int nonces;
+
+		private int depth;
+
+		World(int seed) {
+			this.random = new Random(seed);
+			ObjectStore interleaved = new InterleavedStore(this.store, this::disturb);
+			for (int i = 0; i < 3; i++) {
+				this.entries.add(entry(interleaved));
+			}
+		}
+
+		void request() {
+			int index = this.random.nextInt(this.entries.size());
+			ActionClaims claims = this.entries.get(index);
+			switch (claims.claim(ACTION, "h")) {
+				case Claimed.Mine mine -> send(index, claims, mine);
+				case Claimed.Answered ignored -> assertThat(this.runs).hasValue(1);
+				default -> {
+				}
+			}
+		}
+
+		private void send(int index, ActionClaims claims, Claimed.Mine mine) {
+			switch (this.random.nextInt(5)) {
+				case 0 -> die(index);
+				case 1 -> {
+					claims.release(mine.claim());
+				}
+				case 2 -> {
+					this.runs.incrementAndGet();
+					die(index);
+				}
+				default -> {
+					this.runs.incrementAndGet();
+					claims.answered(mine.claim(), ANSWER);
+				}
+			}
+		}
+
+		private void die(int index) {
+			this.entries.set(index, entry(new InterleavedStore(this.store, this::disturb)));
+		}
+
+		private void disturb() {
+			if (this.random.nextInt(3) == 0) {
+				this.store.fault(Fault.values()[this.random.nextInt(Fault.values().length)]);
+			}
+			if (this.depth < MAX_DEPTH && this.random.nextInt(3) == 0) {
+				this.depth++;
+				if (this.random.nextBoolean()) {
+					request();
+				}
+				else {
+					this.entries.get(this.random.nextInt(this.entries.size())).sweepGivenUp();
+				}
+				this.depth--;
+			}
+		}
+
+		private ActionClaims entry(ObjectStore store) {
+			return new ActionClaims(store, () -> "n" + this.nonces++, () -> 0);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/whinjunction-entry/src/test/java/io/whinjunction/promises/FaultyEngines.java
@@ -0,0 +1,129 @@
+package io.whinjunction.promises;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+
+import io.whinjunction.engine.EngineClient;
+import io.whinjunction.pipeline.Upstream;
+import io.whinjunction.standins.FakeEngine;
+
+/**
+ * Engines whose answers are lost, late, doubled, crossed or from another version, by
+ * chance. Confined to one thread.
+ */
+final class FaultyEngines implements EngineClient {
+
+	private final Map<String, FakeEngine> engines = new HashMap<>();
+
+	private final Map<String, Boolean> dead = new HashMap<>();
+
+	private final List<StepResult.Done> earlier = new ArrayList<>();
+
+	private final VirtualTicker ticker;
+
+	private final Random random;
+
+	private final int faultPercent;
+
+	private boolean doubling;
+
+	private int stepsRun;
+
+	FaultyEngines(VirtualTicker ticker, Random random, int faultPercent) {
+		this.ticker = ticker;
+		this.random = random;
+		this.faultPercent = faultPercent;
+	}
+
+	void add(Upstream upstream, int layerCount) {
+		this.engines.put(upstream.address(),
+				new FakeEngine(upstream.service(), layerCount, upstream.range(), 100, true));
+	}
+
+	void doubleEverything() {
+		this.doubling = true;
+	}
+
+	int stepsRun() {
+		return this.stepsRun;
+	}
+
+	@Override
+	public StepResult step(String address, Step step, long timeoutMs) {
+		this.ticker.advance(1);
+		if (this.dead.containsKey(address)) {
+			return new StepResult.NotSent("connection refused");
+		}
+		if (this.doubling) {
+			run(address, step);
+			return run(address, step);
+		}
+		if (this.random.nextInt(100) >= this.faultPercent) {
+			return run(address, step);
+		}
+		return switch (this.random.nextInt(6)) {
+			case 0 -> {
+				// Killed before it ran.
+				this.dead.put(address, true);
+				yield new StepResult.Failed("reset", false);
+			}
+			case 1 -> {
+				// Ran, then killed: the answer is lost.
+				run(address, step);
+				this.dead.put(address, true);
+				yield new StepResult.Failed("reset", false);
+			}
+			case 2 -> {
+				// Ran, and the answer is late: silent for us, it turns up later.
+				if (run(address, step) instanceof StepResult.Done done) {
+					this.earlier.add(done);
+				}
+				this.ticker.advance(timeoutMs);
+				yield new StepResult.Failed("silent", true);
+			}
+			case 3 -> {
+				// Replaced by another version between two steps.
+				this.engines.get(address).upgrade();
+				yield run(address, step);
+			}
+			case 4 -> {
+				// An answer that belongs to another step comes first.
+				yield this.earlier.isEmpty() ? run(address, step)
+						: this.earlier.get(this.random.nextInt(this.earlier.size()));
+			}
+			default -> {
+				// Doubled by the network: the engine sees the same step twice.
+				run(address, step);
+				yield run(address, step);
+			}
+		};
+	}
+
+	@Override
+	public void cancel(String address, String stream) {
+		// Runs on another thread, after the stream; nothing depends on it here.
+	}
+
+	@Override
+	public EngineReport report(String address) {
+		return this.engines.get(address).report();
+	}
+
+	@Override
+	public boolean order(String address, LoadOrder order) {
+		return this.engines.get(address).order(order);
+	}
+
+	private StepResult run(String address, Step step) {
+		StepResult result = this.engines.get(address).step(step);
+		if (result instanceof StepResult.Done done) {
+			this.stepsRun++;
+			this.earlier.add(done);
+		}
+		return result;
+	}
+
+}
--- /dev/null
+++ b/whinjunction-entry/src/test/java/io/whinjunction/promises/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * What must always hold, each under the failures of the brief.
+ */
+package io.whinjunction.promises;
--- a/whinjunction-standins/src/main/java/io/whinjunction/standins/EngineServer.java
+++ b/whinjunction-standins/src/main/java/io/whinjunction/standins/EngineServer.java
@@ -100,6 +100,7 @@
 				case StepResult.Done done -> Reply.json(200, encode(done));
 				case StepResult.Refused refused -> Reply.text(409, refused.reason());
 				case StepResult.Failed failed -> Reply.text(500, failed.reason());
+				case StepResult.NotSent notSent -> Reply.text(500, notSent.reason());
 			};
 		}
 		finally {
