After one silent call, no other kept connection to that address is tried

Cause: kept connections that something between the two ends has lost track of stay in the client's pool; each would cost one more whole timeout, one after the other. Ruled out: a shorter idle time alone, since a busy connection is never idle. Change: the pool's key carries an epoch of the address, raised by each silent call.

--- a/whinjunction-bench/src/main/java/io/whinjunction/bench/BenchMain.java
+++ b/whinjunction-bench/src/main/java/io/whinjunction/bench/BenchMain.java
@@ -1,19 +1,35 @@
 package io.whinjunction.bench;
 
+import com.github.rvesse.airline.annotations.Cli;
+import com.github.rvesse.airline.help.Help;
+import com.github.rvesse.airline.parser.errors.ParseException;
+import io.whinjunction.log.Logs;
+
 /**
- * The {@code whin-bench} program.
+ * The {@code whin-bench} program: benchmarks, and the caller of {@code run-failures}.
  */
+@Cli(name = "whin-bench", description = "Measures whinjunction against its own baselines", defaultCommand = Help.class,
+		commands = { Help.class, ProbeCommand.class })
 public final class BenchMain {
 
+	private static final int USAGE = 2;
+
 	private BenchMain() {
 	}
 
 	/**
-	 * Runs the benchmarks.
+	 * Runs one command.
 	 * @param args the arguments
 	 */
 	public static void main(String[] args) {
-		System.out.println("no benchmark yet");
+		Logs.initialize();
+		try {
+			new com.github.rvesse.airline.Cli<Runnable>(BenchMain.class).parse(args).run();
+		}
+		catch (ParseException ex) {
+			System.err.println("whin-bench: " + ex.getMessage());
+			System.exit(USAGE);
+		}
 	}
 
 }
--- a/whinjunction-core/src/main/java/io/whinjunction/http/HttpCaller.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/http/HttpCaller.java
@@ -4,6 +4,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentMap;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
@@ -32,6 +34,12 @@
 
 	private final AsyncHttpClient client;
 
+	/**
+	 * Raised for an address by each silent call; kept connections of older epochs are
+	 * left.
+	 */
+	private final ConcurrentMap<String, Integer> epochs = new ConcurrentHashMap<>();
+
 	/**
 	 * A caller with its own connections.
 	 * @param connectTimeoutMs how long connecting may take
@@ -67,6 +75,10 @@
 		}
 		catch (TimeoutException ex) {
 			future.cancel(true);
+			// The failure: something between the two ends has lost track of all open
+			// connections; each kept one would cost a whole timeout. A new epoch leaves
+			// them all at the first, and new connections are tried.
+			this.epochs.merge(call.address(), 1, Integer::sum);
 			// After cancel no byte can follow; what was written before it counts.
 			return lost(written, "no answer in " + call.timeoutMs() + " ms", true);
 		}
@@ -97,12 +109,14 @@
 		for (Map.Entry<String, String> header : call.headers()) {
 			request.addHeader(header.getKey(), header.getValue());
 		}
+		Object partition = new Partition(call.address(), this.epochs.getOrDefault(call.address(), 0));
 		if (call.freshConnection()) {
-			// A key of its own per call: no pooled connection can match it.
+			// A key of its own per call: no kept connection can match it.
 			request.setHeader("connection", "close");
-			Object partition = new Object();
-			request.setChannelPoolPartitioning((uri, virtualHost, proxy) -> partition);
+			partition = new Object();
 		}
+		Object chosen = partition;
+		request.setChannelPoolPartitioning((uri, virtualHost, proxy) -> chosen);
 		if (call.body().length > 0) {
 			request.setBody(call.body());
 		}
@@ -120,6 +134,9 @@
 		return headers;
 	}
 
+	private record Partition(String address, int epoch) {
+	}
+
 	/**
 	 * Notes when the request is handed to a connected channel: the point of no return.
 	 */
--- a/whinjunction-core/src/main/java/io/whinjunction/tls/TlsFiles.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/tls/TlsFiles.java
@@ -1,7 +1,7 @@
 package io.whinjunction.tls;
 
 import java.io.File;
-import java.util.Map;
+import java.util.List;
 
 import javax.net.ssl.SSLContext;
 import javax.net.ssl.SSLException;
@@ -39,7 +39,7 @@
 
 	private Contexts current;
 
-	private Map<File, Long> readAt;
+	private List<Long> readAt;
 
 	private long lookedAtMs;
 
@@ -87,7 +87,7 @@
 	}
 
 	private void reload() {
-		Map<File, Long> now = modified();
+		List<Long> now = modified();
 		if (now.equals(this.readAt)) {
 			return;
 		}
@@ -101,8 +101,8 @@
 		}
 	}
 
-	private Map<File, Long> modified() {
-		return Map.of(this.certificate, this.certificate.lastModified(), this.key, this.key.lastModified());
+	private List<Long> modified() {
+		return List.of(this.certificate.lastModified(), this.key.lastModified(), this.authority.lastModified());
 	}
 
 	private Contexts read() throws SSLException {
--- /dev/null
+++ b/whinjunction-core/src/test/java/io/whinjunction/http/HttpCallerTests.java
@@ -0,0 +1,190 @@
+package io.whinjunction.http;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link HttpCaller}.
+ */
+class HttpCallerTests {
+
+	private final AtomicInteger requests = new AtomicInteger();
+
+	private final HttpCaller caller = new HttpCaller(1000, 10_000);
+
+	private ServerSocket server;
+
+	@BeforeEach
+	void listen() throws IOException {
+		this.server = new ServerSocket(0, 0, InetAddress.getLoopbackAddress());
+	}
+
+	@AfterEach
+	void close() throws IOException {
+		this.server.close();
+		this.caller.close();
+	}
+
+	// The upstream reads the call, acts on it and dies before the answer. The library by
+	// itself would send the call again up to five times, and a client would be billed
+	// for each.
+	@Test
+	void aCallWhoseConnectionBreaksIsNotWrittenAgain() {
+		serve((socket) -> {
+		});
+		CallResult result = this.caller.call(call(2000, true));
+		assertThat(result).isInstanceOfSatisfying(CallResult.Lost.class, (lost) -> assertThat(lost.silent()).isFalse());
+		assertThat(this.requests).hasValue(1);
+	}
+
+	@Test
+	void aSilentCallIsGivenUpAtItsLimitAndNotWrittenAgain() {
+		serve((socket) -> sleep(5000));
+		CallResult result = this.caller.call(call(200, true));
+		assertThat(result).isInstanceOfSatisfying(CallResult.Lost.class, (lost) -> assertThat(lost.silent()).isTrue());
+		assertThat(this.requests).hasValue(1);
+	}
+
+	@Test
+	void aRedirectIsAnAnswerAndIsNotFollowed() {
+		serve((socket) -> answer(socket, "HTTP/1.1 307 Go\r\nlocation: /other\r\ncontent-length: 0\r\n\r\n"));
+		assertThat(this.caller.call(call(2000, true))).isInstanceOfSatisfying(CallResult.Response.class,
+				(response) -> assertThat(response.status()).isEqualTo(307));
+		assertThat(this.requests).hasValue(1);
+	}
+
+	@Test
+	void aRefusedConnectionIsKnownNotToBeSent() throws IOException {
+		this.server.close();
+		assertThat(this.caller.call(call(2000, true))).isInstanceOf(CallResult.NotSent.class);
+	}
+
+	// A kept connection has silently died while new ones work. A call that may not be
+	// repeated must not be written to it, or its fate would be unknown for no reason.
+	@Test
+	void aCallThatMayNotBeRepeatedTakesANewConnection() {
+		AtomicInteger connections = new AtomicInteger();
+		serve((socket) -> {
+			if (connections.incrementAndGet() == 1) {
+				answer(socket, "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok");
+				// The connection stays open and silent from here on.
+				sleep(5000);
+			}
+			answer(socket, "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok");
+		});
+		assertThat(this.caller.call(call(2000, false))).isInstanceOf(CallResult.Response.class);
+		assertThat(this.caller.call(call(2000, true))).isInstanceOf(CallResult.Response.class);
+		assertThat(connections).hasValue(2);
+	}
+
+	// Something between the two ends forgets all open connections; new ones work. Every
+	// kept one would cost a whole timeout, one after the other. After the first timeout
+	// the other kept ones must not be tried any more.
+	@Test
+	void afterOneSilentCallNoOtherKeptConnectionToThatAddressIsTried() {
+		CountDownLatch bothOpen = new CountDownLatch(2);
+		AtomicInteger connections = new AtomicInteger();
+		serve((socket) -> {
+			boolean kept = connections.incrementAndGet() <= 2;
+			if (kept) {
+				bothOpen.countDown();
+				awaitQuietly(bothOpen);
+			}
+			answer(socket, "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok");
+			if (kept) {
+				sleep(5000);
+			}
+		});
+		CompletableFuture<CallResult> other = CompletableFuture.supplyAsync(() -> this.caller.call(call(2000, false)));
+		assertThat(this.caller.call(call(2000, false))).isInstanceOf(CallResult.Response.class);
+		assertThat(other.join()).isInstanceOf(CallResult.Response.class);
+		assertThat(this.caller.call(call(200, false))).isInstanceOf(CallResult.Lost.class);
+		assertThat(this.caller.call(call(2000, false))).isInstanceOf(CallResult.Response.class);
+	}
+
+	private static void awaitQuietly(CountDownLatch latch) {
+		try {
+			latch.await();
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	private Call call(long timeoutMs, boolean fresh) {
+		return new Call("POST", "127.0.0.1:" + this.server.getLocalPort(), "/x", List.of(), new byte[] { 1, 2, 3 },
+				timeoutMs, fresh);
+	}
+
+	private void serve(Consumer<Socket> answer) {
+		Thread.startVirtualThread(() -> {
+			while (!this.server.isClosed()) {
+				try {
+					Socket socket = this.server.accept();
+					Thread.startVirtualThread(() -> serveOne(socket, answer));
+				}
+				catch (IOException ex) {
+					return;
+				}
+			}
+		});
+	}
+
+	private void serveOne(Socket socket, Consumer<Socket> answer) {
+		try (socket) {
+			byte[] buffer = new byte[4096];
+			int length = 0;
+			while (length < 3 || !endsWithBody(buffer, length)) {
+				int read = socket.getInputStream().read(buffer, length, buffer.length - length);
+				if (read < 0) {
+					return;
+				}
+				length += read;
+			}
+			this.requests.incrementAndGet();
+			answer.accept(socket);
+		}
+		catch (IOException ex) {
+			// The test has ended.
+		}
+	}
+
+	private static boolean endsWithBody(byte[] buffer, int length) {
+		return buffer[length - 3] == 1 && buffer[length - 2] == 2 && buffer[length - 1] == 3;
+	}
+
+	private static void answer(Socket socket, String text) {
+		try {
+			socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+			socket.getOutputStream().flush();
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+	private static void sleep(long durationMs) {
+		try {
+			Thread.sleep(durationMs);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+}
--- a/whinjunction-entry/src/test/java/io/whinjunction/entry/LocalSystem.java
+++ b/whinjunction-entry/src/test/java/io/whinjunction/entry/LocalSystem.java
@@ -171,6 +171,10 @@
 		return revision + 1;
 	}
 
+	String peerAddress(int index) {
+		return "127.0.0.1:" + this.peerPorts.get(index);
+	}
+
 	FakeObjectStore store() {
 		return this.store;
 	}
