--- a/whinjunction-core/src/main/java/io/whinjunction/order/PlacementPlanner.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/order/PlacementPlanner.java
@@ -107,7 +107,11 @@
 			if (present.size() >= this.model.upstreamsPerRange()) {
 				return false;
 			}
-			Upstream taken = present.isEmpty() ? takeAny(range) : takeSpare(range);
+			Upstream taken = takeSpare(range);
+			if (taken == null) {
+				// An empty range stops the whole model, so it may take the last but one.
+				taken = takeFromRichest(present.isEmpty() ? 1 : this.model.upstreamsPerRange());
+			}
 			if (taken == null) {
 				return false;
 			}
@@ -116,15 +120,15 @@
 			return true;
 		}
 
-		private Upstream takeAny(LayerRange range) {
-			Upstream spare = takeSpare(range);
-			if (spare != null) {
-				return spare;
-			}
-			// No spare is left: a range without any holder stops the whole model, so the
-			// richest range gives one.
+		private Upstream takeFromRichest(int leaveAtLeast) {
 			List<Upstream> richest = this.holders.values().stream().max(Comparator.comparingInt(List::size)).get();
-			return (richest.size() > 1) ? richest.remove(richest.size() - 1) : null;
+			if (richest.size() <= leaveAtLeast) {
+				return null;
+			}
+			// The one with the least work loses the fewest caches.
+			Upstream idlest = richest.stream().min(Comparator.comparingInt(Upstream::reportedRunning)).get();
+			richest.remove(idlest);
+			return idlest;
 		}
 
 		private Upstream takeSpare(LayerRange range) {
--- a/whinjunction-core/src/main/java/io/whinjunction/session/DraftSession.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/session/DraftSession.java
@@ -148,6 +148,7 @@
 			position += inputs.size();
 			inputs = List.of(token);
 			this.tokens.add(token);
+			this.budget.progressed();
 			sink.token(token);
 		}
 		return new AttemptEnd.Whole();
--- a/whinjunction-core/src/main/java/io/whinjunction/session/RetryBudget.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/session/RetryBudget.java
@@ -5,13 +5,17 @@
  * <p>
  * The failure it is there for: when everything fails at once each request would be tried
  * several times, and the retries alone would keep the overload up after its cause is
- * gone. A tenth of a token per request and a small reserve hold retries below that part.
+ * gone. What retries cost is earned before by requests and by tokens that came out well;
+ * where nothing comes out any more, nothing is earned, and the reserve is all there is.
  * <p>
- * Invariant: retries granted are at most {@code reserve + part * requests}. Safe for all
- * threads.
+ * Invariant: retries granted are at most {@code reserve + part * requests} plus
+ * {@link #PER_TOKEN} for each token made. Safe for all threads.
  */
 public final class RetryBudget {
 
+	/** A resumed draft costs one more prefill, so a hundred tokens pay for one. */
+	static final double PER_TOKEN = 0.01;
+
 	private final double part;
 
 	private final double reserve;
@@ -33,7 +37,14 @@
 	 * A request was begun.
 	 */
 	public synchronized void requested() {
-		this.tokens = Math.min(this.reserve, this.tokens + this.part);
+		earn(this.part);
+	}
+
+	/**
+	 * A token of a draft was made.
+	 */
+	public synchronized void progressed() {
+		earn(PER_TOKEN);
 	}
 
 	/**
@@ -48,4 +59,8 @@
 		return true;
 	}
 
+	private void earn(double earned) {
+		this.tokens = Math.min(this.reserve, this.tokens + earned);
+	}
+
 }
--- a/whinjunction-core/src/test/java/io/whinjunction/order/PlacementPlannerTests.java
+++ b/whinjunction-core/src/test/java/io/whinjunction/order/PlacementPlannerTests.java
@@ -59,6 +59,21 @@
 			.isEqualTo(UPPER);
 	}
 
+	// Regression: spares had replaced engines that came back later, so their ranges had
+	// one
+	// holder too many and no spare was left when another range lost one.
+	@Test
+	void withoutASpareASurplusHolderFillsAGap() {
+		assertThat(plan(4, 0, held("a", LOWER), held("b", LOWER), held("b2", LOWER), held("c", UPPER))).singleElement()
+			.extracting(Move::range)
+			.isEqualTo(UPPER);
+	}
+
+	@Test
+	void noRangeIsBroughtBelowWhatIsWantedToFillAnother() {
+		assertThat(plan(4, 0, held("a", LOWER), held("b", LOWER), held("c", UPPER))).isEmpty();
+	}
+
 	// A failure domain dies and many engines have to read weights: the weight store gives
 	// a limited rate, so orders are held back, not all given at once.
 	@Test
--- a/whinjunction-core/src/test/java/io/whinjunction/session/RetryBudgetTests.java
+++ b/whinjunction-core/src/test/java/io/whinjunction/session/RetryBudgetTests.java
@@ -28,6 +28,25 @@
 		assertThat(retries).isLessThanOrEqualTo((int) (20 + 0.1 * requests + 1));
 	}
 
+	// Regression: ten long drafts lost a stage, five times in a row; the budget knew only
+	// the few requests and not that all of them had gone on well in between, and cut two
+	// drafts off that another pipeline could have ended.
+	@Test
+	void progressEarnsRetriesSoThatLongDraftsSurviveOneFailureAfterTheOther() {
+		RetryBudget budget = new RetryBudget(0.1, 20);
+		for (int i = 0; i < 10; i++) {
+			budget.requested();
+		}
+		for (int failure = 0; failure < 10; failure++) {
+			for (int token = 0; token < 10 * 100; token++) {
+				budget.progressed();
+			}
+			for (int draft = 0; draft < 10; draft++) {
+				assertThat(budget.tryRetry()).isTrue();
+			}
+		}
+	}
+
 	@Test
 	void aLoneFailureIsRetried() {
 		RetryBudget budget = new RetryBudget(0.1, 20);
--- a/whinjunction-entry/src/main/java/io/whinjunction/entry/Entry.java
+++ b/whinjunction-entry/src/main/java/io/whinjunction/entry/Entry.java
@@ -54,7 +54,8 @@
 
 	private static final double RETRY_PART = 0.1;
 
-	private static final double RETRY_RESERVE = 20;
+	/** The least reserve; an engine that dies takes a stage from every running draft. */
+	private static final int RETRY_RESERVE = 20;
 
 	/** After a failed call a loop waits a little, so that an outage is not hammered. */
 	private static final long PAUSE_MS = 200;
@@ -103,7 +104,7 @@
 				new AdmissionQueue(settings.limits().streams(), settings.limits().waiting()),
 				new AdmissionQueue(settings.limits().plainCalls(), settings.limits().plainCalls()),
 				new PipelineChooser(upstreams, policy, this.ticker, random), engines, caller, claims,
-				new RetryBudget(RETRY_PART, RETRY_RESERVE), new EntryMetrics(),
+				new RetryBudget(RETRY_PART, Math.max(RETRY_RESERVE, settings.limits().streams())), new EntryMetrics(),
 				this.closer.register(Tracing.create(settings.id(), settings.otlpEndpoint())), new DecisionLog());
 		TlsFiles tls = tls(settings);
 		PeerTransport transport = new PeerTransport(peerTls(tls), settings.timing().platformMs());
