--- /dev/null
+++ b/whinjunction-bench/src/main/java/io/whinjunction/bench/BenchCommand.java
@@ -0,0 +1,37 @@
+package io.whinjunction.bench;
+
+import java.nio.file.Path;
+
+import com.github.rvesse.airline.annotations.Option;
+
+/**
+ * What all benchmarks share: their length, and where results go.
+ */
+abstract class BenchCommand implements Runnable {
+
+	@Option(name = "--quick", description = "Shorter runs")
+	private boolean quick;
+
+	@Option(name = "--out", title = "FILE", description = "Where to write the results as JSON")
+	private String out;
+
+	@Override
+	public final void run() {
+		Report report = new Report();
+		measure(report);
+		report.printBounds();
+		if (this.out != null) {
+			report.write(Path.of(this.out));
+		}
+		if (report.broken() > 0) {
+			System.exit(1);
+		}
+	}
+
+	abstract void measure(Report report);
+
+	boolean quick() {
+		return this.quick;
+	}
+
+}
--- a/whinjunction-bench/src/main/java/io/whinjunction/bench/BenchMain.java
+++ b/whinjunction-bench/src/main/java/io/whinjunction/bench/BenchMain.java
@@ -9,7 +9,8 @@
  * The {@code whin-bench} program: benchmarks, and the caller of {@code run-failures}.
  */
 @Cli(name = "whin-bench", description = "Measures whinjunction against its own baselines", defaultCommand = Help.class,
-		commands = { Help.class, ProbeCommand.class })
+		commands = { Help.class, ProbeCommand.class, ThroughputCommand.class, SlopesCommand.class, SpreadCommand.class,
+				RecoveryCommand.class, OverloadCommand.class })
 public final class BenchMain {
 
 	private static final int USAGE = 2;
--- /dev/null
+++ b/whinjunction-bench/src/main/java/io/whinjunction/bench/OverloadBench.java
@@ -0,0 +1,211 @@
+package io.whinjunction.bench;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.LongAdder;
+import java.util.concurrent.locks.LockSupport;
+
+import io.whinjunction.admission.AdmissionQueue;
+import io.whinjunction.admission.AdmissionQueue.Ticket;
+import io.whinjunction.outcome.Outcome;
+import io.whinjunction.session.DraftResult;
+import io.whinjunction.session.TokenSink;
+import org.HdrHistogram.ConcurrentHistogram;
+import org.HdrHistogram.Histogram;
+
+/**
+ * One, two and five times the bound, one large team and nine small ones: useful answers
+ * in time, small teams' share, refusals and retries.
+ */
+final class OverloadBench {
+
+	private static final int TOKENS = 24;
+
+	private static final long DEADLINE_MS = 3000;
+
+	private static final int TEAMS = 10;
+
+	/** The large team's part of the offered load; the small ones share the rest. */
+	private static final double LARGE_PART = 0.8;
+
+	private final long runMs;
+
+	OverloadBench(long runMs) {
+		this.runMs = runMs;
+	}
+
+	void run(Report report) {
+		for (int factor : new int[] { 1, 2, 5 }) {
+			measure(report, factor);
+		}
+		report.atLeast("overload.2x.useful", 0.95 * report.value("overload.1x.useful"));
+		report.atLeast("overload.5x.useful", 0.95 * report.value("overload.1x.useful"));
+		report.atLeast("overload.5x.small-teams-served", 0.95);
+		report.atMost("overload.5x.retries", 0.1);
+		report.atMost("overload.5x.poll-p99", 50);
+	}
+
+	private void measure(Report report, int factor) {
+		try (BenchFleet fleet = new BenchFleet(Policies::ours, 500, 5);
+				ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor()) {
+			Load load = new Load(fleet);
+			double perSecond = factor * fleet.boundPerSecond() / TOKENS;
+			Random random = new Random(6);
+			long startNs = System.nanoTime();
+			long warmNs = startNs + this.runMs * 500_000;
+			long endNs = startNs + this.runMs * 1_500_000;
+			double nextNs = startNs;
+			for (int n = 0; System.nanoTime() < endNs; n++) {
+				nextNs += -Math.log(1 - random.nextDouble()) * 1e9 / perSecond;
+				LockSupport.parkNanos((long) nextNs - System.nanoTime());
+				boolean counted = System.nanoTime() > warmNs;
+				int request = n;
+				// A small team's demand stays what it is at 1x; the large one floods.
+				boolean small = random.nextDouble() < (1 - LARGE_PART) / factor;
+				int team = small ? 1 + random.nextInt(TEAMS - 1) : 0;
+				executor.execute(() -> load.request(request, team, counted));
+			}
+			load.over = true;
+			String prefix = "overload." + factor + "x.";
+			report.put(prefix + "useful", "of the bound",
+					load.useful.sum() * TOKENS * 1000.0 / this.runMs / fleet.boundPerSecond());
+			report.put(prefix + "small-teams-served", "of their requests",
+					(double) load.smallServed.sum() / Math.max(1, load.smallAsked.sum()));
+			report.put(prefix + "refused", "of requests", (double) load.refused.sum() / load.asked.sum());
+			report.put(prefix + "late", "of requests", (double) load.late.sum() / load.asked.sum());
+			report.put(prefix + "refusal-p99", "ms", load.refusalUs.getValueAtPercentile(99) / 1000.0);
+			report.put(prefix + "retries", "per request", (double) load.retries.sum() / load.asked.sum());
+			report.put(prefix + "poll-p99", "ms", load.pollUs.getValueAtPercentile(99) / 1000.0);
+		}
+	}
+
+	/**
+	 * The entries' admission and the counts.
+	 */
+	private static final class Load {
+
+		private final BenchFleet fleet;
+
+		private final List<AdmissionQueue> drafts = new ArrayList<>();
+
+		private final List<AdmissionQueue> calls = new ArrayList<>();
+
+		private final AtomicInteger next = new AtomicInteger();
+
+		private final LongAdder asked = new LongAdder();
+
+		private final LongAdder useful = new LongAdder();
+
+		private final LongAdder late = new LongAdder();
+
+		private final LongAdder refused = new LongAdder();
+
+		private final LongAdder retries = new LongAdder();
+
+		private final LongAdder smallAsked = new LongAdder();
+
+		private final LongAdder smallServed = new LongAdder();
+
+		private final Histogram refusalUs = new ConcurrentHistogram(3);
+
+		private final Histogram pollUs = new ConcurrentHistogram(3);
+
+		private volatile boolean over;
+
+		Load(BenchFleet fleet) {
+			this.fleet = fleet;
+			for (int i = 0; i < BenchFleet.ENTRIES; i++) {
+				this.drafts.add(new AdmissionQueue(256, 256));
+				this.calls.add(new AdmissionQueue(64, 64));
+			}
+		}
+
+		void request(int n, int team, boolean counted) {
+			int entry = this.next.getAndIncrement() % BenchFleet.ENTRIES;
+			poll(entry, team);
+			long startNs = System.nanoTime();
+			AdmissionQueue queue = this.drafts.get(entry);
+			boolean admitted = enter(queue, "team-" + team);
+			if (!admitted) {
+				this.refusalUs.recordValue((System.nanoTime() - startNs) / 1000);
+				count(counted, team, this.refused);
+				return;
+			}
+			long enteredNs = System.nanoTime();
+			try {
+				long leftMs = DEADLINE_MS - (enteredNs - startNs) / 1_000_000;
+				DraftResult result = this.fleet.draft(entry, "o" + n, TOKENS, leftMs, new Sink());
+				if (counted) {
+					this.retries.add(result.attempts() - 1);
+				}
+				count(counted, team, (result.outcome() instanceof Outcome.Answered) ? this.useful : this.late);
+			}
+			finally {
+				queue.leave("team-" + team, (System.nanoTime() - enteredNs) / 1e6);
+			}
+		}
+
+		private void poll(int entry, int team) {
+			long startNs = System.nanoTime();
+			AdmissionQueue queue = this.calls.get(entry);
+			if (enter(queue, "team-" + team)) {
+				queue.leave("team-" + team, 1);
+			}
+			this.pollUs.recordValue((System.nanoTime() - startNs) / 1000);
+		}
+
+		private void count(boolean counted, int team, LongAdder what) {
+			if (!counted || this.over) {
+				return;
+			}
+			this.asked.increment();
+			what.increment();
+			if (team > 0) {
+				this.smallAsked.increment();
+				if (what == this.useful) {
+					this.smallServed.increment();
+				}
+			}
+		}
+
+		private static boolean enter(AdmissionQueue queue, String team) {
+			Ticket ticket = queue.enter(team, 1, DEADLINE_MS);
+			if (!(ticket instanceof Ticket.Waiting waiting)) {
+				return ticket instanceof Ticket.Admitted;
+			}
+			try {
+				waiting.turn().get(DEADLINE_MS, TimeUnit.MILLISECONDS);
+				return true;
+			}
+			catch (TimeoutException ex) {
+				return !queue.giveUp(team, waiting);
+			}
+			catch (InterruptedException | ExecutionException ex) {
+				throw new IllegalStateException(ex);
+			}
+		}
+
+		private final class Sink implements TokenSink {
+
+			@Override
+			public void token(String token) {
+				// Counted as a whole answer only.
+			}
+
+			@Override
+			public boolean cancelled() {
+				return Load.this.over;
+			}
+
+		}
+
+	}
+
+}
--- /dev/null
+++ b/whinjunction-bench/src/main/java/io/whinjunction/bench/OverloadCommand.java
@@ -0,0 +1,16 @@
+package io.whinjunction.bench;
+
+import com.github.rvesse.airline.annotations.Command;
+
+/**
+ * Overload with a large team and small ones.
+ */
+@Command(name = "overload", description = "One, two and five times the bound with one large team and nine small")
+public final class OverloadCommand extends BenchCommand {
+
+	@Override
+	void measure(Report report) {
+		new OverloadBench(quick() ? 5000 : 15_000).run(report);
+	}
+
+}
--- a/whinjunction-core/src/main/java/io/whinjunction/pipeline/ChoicePolicy.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/pipeline/ChoicePolicy.java
@@ -10,6 +10,14 @@
  */
 public sealed interface ChoicePolicy {
 
+	/**
+	 * The policy of the product; docs/DESIGN.md gives the figures that speak for it.
+	 * @return a policy without state of its own
+	 */
+	static ChoicePolicy standard() {
+		return new LeastExpectedDelay(1, Integer.MAX_VALUE, 0.5);
+	}
+
 	/**
 	 * Chooses.
 	 * @param candidates at least one upstream
--- a/whinjunction-core/src/test/java/io/whinjunction/limit/TeamLimitsTests.java
+++ b/whinjunction-core/src/test/java/io/whinjunction/limit/TeamLimitsTests.java
@@ -74,6 +74,8 @@
 			entries.add(new TeamLimits());
 		}
 		LimitOwner owner = new LimitOwner();
+		double[] lent = new double[ENTRIES];
+		long[] lentUntilMs = new long[ENTRIES];
 		int started = 0;
 		for (long nowMs = 0; nowMs < 10_000; nowMs += 10) {
 			if (nowMs == replacedAtS * 1000L) {
@@ -81,9 +83,12 @@
 			}
 			for (int i = 0; i < ENTRIES; i++) {
 				TeamLimits entry = entries.get(i);
-				if (nowMs % LimitShares.RENEW_MS == 0) {
+				if ((nowMs + 100L * i) % LimitShares.RENEW_MS == 0) {
 					double demand = entry.demandBeyondBase(TEAM, ENTRIES, nowMs);
-					entry.lent(TEAM.name(), owner.lend(TEAM.name(), RATE, "entry-" + i, demand, nowMs), nowMs);
+					lent[i] = owner.lend(TEAM.name(), RATE, "entry-" + i, demand, nowMs);
+					lentUntilMs[i] = nowMs + LimitShares.LENT_MS;
+					entry.lent(TEAM.name(), lent[i], nowMs);
+					assertThat(validLoans(lent, lentUntilMs, nowMs)).isLessThanOrEqualTo(RATE / 2 + 1e-6);
 				}
 				if (random.nextInt(4) < 1 + i % 3) {
 					started += (entry.tryStart(TEAM, ENTRIES, nowMs) == 0) ? 1 : 0;
@@ -94,6 +99,14 @@
 		assertThat(started).isLessThanOrEqualTo((int) (RATE * 11) + ENTRIES);
 	}
 
+	private static double validLoans(double[] lent, long[] untilMs, long nowMs) {
+		double sum = 0;
+		for (int i = 0; i < lent.length; i++) {
+			sum += (nowMs < untilMs[i]) ? lent[i] : 0;
+		}
+		return sum;
+	}
+
 	@Test
 	void anEntryBelowItsBaseShareAsksNobody() {
 		TeamLimits limits = new TeamLimits();
--- a/whinjunction-entry/src/main/java/io/whinjunction/entry/Entry.java
+++ b/whinjunction-entry/src/main/java/io/whinjunction/entry/Entry.java
@@ -98,12 +98,10 @@
 		ActionClaims claims = new ActionClaims(store, () -> UUID.randomUUID().toString(),
 				() -> System.currentTimeMillis() / 1000);
 		Gate gate = new Gate(configuration, freshness, settings.failureDomain(), this.ticker);
-		// Each entry sees its own work only; the policy reckons with the others'.
-		ChoicePolicy policy = new ChoicePolicy.LeastExpectedDelay(1, Integer.MAX_VALUE, 0.5);
 		this.parts = new EntryParts(settings, this.ticker, gate, upstreams, members, limits,
 				new AdmissionQueue(settings.limits().streams(), settings.limits().waiting()),
 				new AdmissionQueue(settings.limits().plainCalls(), settings.limits().plainCalls()),
-				new PipelineChooser(upstreams, policy, this.ticker, random), engines, caller, claims,
+				new PipelineChooser(upstreams, ChoicePolicy.standard(), this.ticker, random), engines, caller, claims,
 				new RetryBudget(RETRY_PART, Math.max(RETRY_RESERVE, settings.limits().streams())), new EntryMetrics(),
 				this.closer.register(Tracing.create(settings.id(), settings.otlpEndpoint())), new DecisionLog());
 		TlsFiles tls = tls(settings);
