Overload: a learned concurrency limit, fair waiting, and deadlines not held against engines

Three causes, found one after the other: 1. Nothing kept the running requests to what can be served in time. A step that ended at the draft's own deadline was held against the engine, which then got no work although it was healthy, and a further attempt was begun for nothing. A small team's expected wait was that of the whole queue, and a full queue was the large team's: now its own turns count, and the longest team's newest makes room.

--- a/whinjunction-core/src/main/java/io/whinjunction/admission/AdmissionQueue.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/admission/AdmissionQueue.java
@@ -10,21 +10,21 @@
  * Lets a bounded number of requests run and a bounded number wait, fairly between teams.
  * <p>
  * The failure it is there for: under overload everything would wait, nothing would be in
- * time and one large team would fill the queue. A free slot goes to the waiting team with
- * the fewest running requests for its weight; a request that cannot make its deadline, or
- * that finds the queue or its team's part of it full, is refused at once.
+ * time and one large team would fill the queue. Room goes to the waiting team with the
+ * fewest running requests for its weight; a request that cannot make its deadline is
+ * refused at once; where the queue is full, the longest team's newest makes room.
  * <p>
- * Invariants: running requests are at most the slots; a waiting request is ended exactly
- * once. Safe for all threads.
+ * Invariants: no request is started while the limit is reached; a waiting request is
+ * ended exactly once. Safe for all threads.
  */
 public final class AdmissionQueue {
 
 	private static final double SMOOTHING = 0.05;
 
-	/** A team may hold at most this part of the queue. */
-	private static final double TEAM_PART = 0.5;
+	/** The rest of the time is needed to run. */
+	private static final double WAIT_PART = 0.25;
 
-	private final int slots;
+	private final ConcurrencyLimit limit;
 
 	private final int maxWaiting;
 
@@ -38,50 +38,76 @@
 
 	/**
 	 * A queue.
-	 * @param slots how many requests may run
+	 * @param limit how many requests may run
 	 * @param maxWaiting how many may wait
 	 */
-	public AdmissionQueue(int slots, int maxWaiting) {
-		this.slots = slots;
+	public AdmissionQueue(ConcurrencyLimit limit, int maxWaiting) {
+		this.limit = limit;
 		this.maxWaiting = maxWaiting;
 	}
 
+	/**
+	 * How long a request may wait of the time that it has in all.
+	 * @param allowedMs the time in all, in milliseconds
+	 * @return the part of it
+	 */
+	public static long waitMs(long allowedMs) {
+		return (long) (allowedMs * WAIT_PART);
+	}
+
 	/**
 	 * Asks to run.
 	 * @param team the team
 	 * @param weight its weight
-	 * @param budgetMs how long it may wait, in milliseconds
+	 * @param allowedMs how long it may take, waiting included, in milliseconds
 	 * @return what became of it
 	 */
-	public synchronized Ticket enter(String team, int weight, long budgetMs) {
+	public synchronized Ticket enter(String team, int weight, long allowedMs) {
 		TeamQueue queue = this.teams.computeIfAbsent(team, (name) -> new TeamQueue());
 		queue.weight = weight;
-		if (this.running < this.slots && this.waiting == 0) {
+		if (this.running < this.limit.current() && this.waiting == 0) {
 			start(queue);
 			return new Ticket.Admitted();
 		}
-		long waitMs = expectedWaitMs();
-		boolean full = this.waiting >= this.maxWaiting || queue.waiting.size() >= this.maxWaiting * TEAM_PART;
-		if (full || waitMs > budgetMs) {
-			return new Ticket.Refused(full, Math.max(1, waitMs));
+		long waitMs = expectedWaitMs(queue);
+		if (waitMs > waitMs(allowedMs)) {
+			forgetIdle(team);
+			return new Ticket.Refused(false, Math.max(1, waitMs));
+		}
+		if (this.waiting >= this.maxWaiting && !displaceFor(queue)) {
+			forgetIdle(team);
+			return new Ticket.Refused(true, Math.max(1, waitMs));
 		}
-		CompletableFuture<Void> turn = new CompletableFuture<>();
+		CompletableFuture<Boolean> turn = new CompletableFuture<>();
 		queue.waiting.add(turn);
 		this.waiting++;
 		return new Ticket.Waiting(turn);
 	}
 
+	/**
+	 * A running request made progress.
+	 * @param nowMs the time
+	 * @param paceMs how long its whole answer will have taken at this pace
+	 * @param allowedMs how long it may take
+	 */
+	public synchronized void paced(long nowMs, double paceMs, double allowedMs) {
+		this.limit.paced(nowMs, this.running, paceMs, allowedMs);
+	}
+
 	/**
 	 * A running request ended.
 	 * @param team its team
 	 * @param tookMs how long it ran
 	 */
 	public synchronized void leave(String team, double tookMs) {
+		this.limit.ended(this.running);
 		this.smoothedServiceMs = (this.smoothedServiceMs == 0) ? tookMs
 				: this.smoothedServiceMs + SMOOTHING * (tookMs - this.smoothedServiceMs);
 		this.running--;
 		this.teams.get(team).running--;
-		startNext();
+		while (this.running < this.limit.current() && this.waiting > 0) {
+			startNext();
+		}
 		forgetIdle(team);
 	}
 
@@ -108,6 +134,14 @@
 		return this.running;
 	}
 
+	/**
+	 * Requests that may run.
+	 * @return the limit now
+	 */
+	public synchronized int limit() {
+		return this.limit.current();
+	}
+
 	/**
 	 * Requests that wait.
 	 * @return their number
@@ -116,8 +150,28 @@
 		return this.waiting;
 	}
 
-	private long expectedWaitMs() {
-		return (long) (this.smoothedServiceMs * (this.waiting + 1) / this.slots);
+	// Turns go round between the teams that wait, so a short queue of one's own is soon
+	// through, however long another team's is.
+	private long expectedWaitMs(TeamQueue queue) {
+		long round = this.teams.values().stream().filter((one) -> one != queue && !one.waiting.isEmpty()).count() + 1;
+		double ahead = Math.min(this.waiting + 1.0, (queue.waiting.size() + 1.0) * round);
+		return (long) (this.smoothedServiceMs * ahead / this.limit.current());
+	}
+
+	// The newest waiting request of the longest queue makes room and is refused at once.
+	private boolean displaceFor(TeamQueue queue) {
+		TeamQueue longest = queue;
+		for (TeamQueue other : this.teams.values()) {
+			if (other.share() > longest.share()) {
+				longest = other;
+			}
+		}
+		if (longest.share() <= queue.share() + 1) {
+			return false;
+		}
+		this.waiting--;
+		longest.waiting.pollLast().complete(false);
+		return true;
 	}
 
 	private void start(TeamQueue queue) {
@@ -132,28 +186,30 @@
 				next = queue;
 			}
 		}
-		if (next != null) {
-			this.waiting--;
-			start(next);
-			next.waiting.poll().complete(null);
-		}
+		this.waiting--;
+		start(next);
+		next.waiting.poll().complete(true);
 	}
 
 	private void forgetIdle(String team) {
 		TeamQueue queue = this.teams.get(team);
-		if (queue.running == 0 && queue.waiting.isEmpty()) {
+		if (queue != null && queue.running == 0 && queue.waiting.isEmpty()) {
 			this.teams.remove(team);
 		}
 	}
 
 	private static final class TeamQueue {
 
-		private final Deque<CompletableFuture<Void>> waiting = new ArrayDeque<>();
+		private final Deque<CompletableFuture<Boolean>> waiting = new ArrayDeque<>();
 
 		private int running;
 
 		private int weight = 1;
 
+		double share() {
+			return (double) this.waiting.size() / this.weight;
+		}
+
 		double load() {
 			return (double) this.running / this.weight;
 		}
@@ -174,9 +230,10 @@
 		/**
 		 * It waits.
 		 *
-		 * @param turn completes when it runs
+		 * @param turn completes with {@code true} when it runs, with {@code false} when
+		 * it is refused to make room for a team that waits less
 		 */
-		record Waiting(CompletableFuture<Void> turn) implements Ticket {
+		record Waiting(CompletableFuture<Boolean> turn) implements Ticket {
 		}
 
 		/**
--- a/whinjunction-core/src/main/java/io/whinjunction/metrics/EntryMetrics.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/metrics/EntryMetrics.java
@@ -46,7 +46,7 @@
 
 	private final Gauge gauges = Gauge.builder()
 		.name("whin_state")
-		.help("State of this entry by kind: running, waiting, revision, confirmation_age_ms, members, given_up_claims")
+		.help("State of this entry by kind: running, limit, waiting, revision, confirmation_age_ms, members, given_up_claims")
 		.labelNames("kind")
 		.register(this.registry);
 
--- a/whinjunction-core/src/main/java/io/whinjunction/session/DraftSession.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/session/DraftSession.java
@@ -100,6 +100,9 @@
 					return givenUp(Code.DEADLINE, "The answer was not whole before its deadline.");
 				}
 				case AttemptEnd.StageFailed ignored -> {
+					if (late()) {
+						return givenUp(Code.DEADLINE, "The answer was not whole before its deadline.");
+					}
 					if (!this.budget.tryRetry()) {
 						return givenUp(Code.UPSTREAM_FAILED, "A stage failed and the budget for retries is used up.");
 					}
@@ -138,7 +141,7 @@
 			if (sink.cancelled()) {
 				return new AttemptEnd.CallerGone();
 			}
-			if (this.ticker.nowMs() >= this.request.deadlineMs()) {
+			if (late()) {
 				return new AttemptEnd.TooLate();
 			}
 			String token = token(pipeline, recorders, position, inputs);
@@ -192,12 +195,25 @@
 			}
 			case StepResult.Failed failed -> {
 				this.touched.add(stage);
-				fail(stage, recorder, tookMs, failed.reason());
+				if (failed.silent() && late()) {
+					// The draft's own deadline ended the step before the engine's time
+					// was
+					// up. Held against the engine, late drafts would take healthy engines
+					// out of service just when there is too much work.
+					recorder.failed(tookMs, "the deadline came first");
+				}
+				else {
+					fail(stage, recorder, tookMs, failed.reason());
+				}
 			}
 		}
 		return null;
 	}
 
+	private boolean late() {
+		return this.ticker.nowMs() >= this.request.deadlineMs();
+	}
+
 	private void fail(Upstream stage, HopRecorder recorder, long tookMs, String reason) {
 		recorder.failed(tookMs, reason);
 		this.avoided.add(stage.id());
--- a/whinjunction-entry/src/main/java/io/whinjunction/entry/Admission.java
+++ b/whinjunction-entry/src/main/java/io/whinjunction/entry/Admission.java
@@ -27,40 +27,42 @@
 	 * @param parts the entry
 	 * @param queue the queue
 	 * @param team the team
-	 * @param budgetMs how long it may wait
+	 * @param allowedMs how long it may take, waiting included
 	 * @param exchange the request
 	 * @return {@code null} where it may run, and {@link AdmissionQueue#leave} has to
 	 * follow; else the refusal
 	 */
-	static Refusal enter(EntryParts parts, AdmissionQueue queue, Team team, long budgetMs, Exchange exchange) {
+	static Refusal enter(EntryParts parts, AdmissionQueue queue, Team team, long allowedMs, Exchange exchange) {
 		long waitMs = parts.limits().tryStart(team, parts.members().alive().size(), parts.ticker().nowMs());
 		if (waitMs > 0) {
 			return Refusal.temporary(Code.TEAM_LIMIT, "Team '" + team.name() + "' is above its rate.", seconds(waitMs));
 		}
-		Ticket ticket = queue.enter(team.name(), team.weight(), budgetMs);
+		Ticket ticket = queue.enter(team.name(), team.weight(), allowedMs);
 		return switch (ticket) {
 			case Ticket.Admitted ignored -> null;
 			case Ticket.Refused refused when refused.full() -> Refusal.temporary(Code.OVERLOADED,
 					"More work is waiting than can be done.", seconds(refused.comeBackMs()));
 			case Ticket.Refused refused -> Refusal.temporary(Code.DEADLINE, "The answer would come after its deadline.",
 					seconds(refused.comeBackMs()));
-			case Ticket.Waiting waiting -> await(parts, queue, team, budgetMs, exchange, waiting);
+			case Ticket.Waiting waiting ->
+				await(parts, queue, team, AdmissionQueue.waitMs(allowedMs), exchange, waiting);
 		};
 	}
 
-	private static Refusal await(EntryParts parts, AdmissionQueue queue, Team team, long budgetMs, Exchange exchange,
+	private static Refusal await(EntryParts parts, AdmissionQueue queue, Team team, long waitMs, Exchange exchange,
 			Ticket.Waiting waiting) {
-		long endMs = parts.ticker().nowMs() + budgetMs;
+		long endMs = parts.ticker().nowMs() + waitMs;
 		while (true) {
 			long leftMs = endMs - parts.ticker().nowMs();
 			try {
-				waiting.turn().get(Math.max(1, Math.min(LOOK_EVERY_MS, leftMs)), TimeUnit.MILLISECONDS);
-				return null;
+				boolean runs = waiting.turn().get(Math.max(1, Math.min(LOOK_EVERY_MS, leftMs)), TimeUnit.MILLISECONDS);
+				return runs ? null : Refusal.temporary(Code.OVERLOADED,
+						"More work of the team is waiting than can be done; another team came first.", 1);
 			}
 			catch (TimeoutException ex) {
 				boolean over = leftMs <= 0 || exchange.gone();
 				if (over && queue.giveUp(team.name(), waiting)) {
-					return Refusal.temporary(Code.DEADLINE, "The request waited until its deadline.", 1);
+					return Refusal.temporary(Code.DEADLINE, "The request waited as long as its deadline allows.", 1);
 				}
 			}
 			catch (InterruptedException ex) {
--- a/whinjunction-entry/src/main/java/io/whinjunction/entry/DraftHandler.java
+++ b/whinjunction-entry/src/main/java/io/whinjunction/entry/DraftHandler.java
@@ -57,7 +57,8 @@
 		}
 		long enteredMs = this.parts.ticker().nowMs();
 		try {
-			return run(exchange, record, passed, model, new Writer(exchange, record, body, chat));
+			return run(exchange, record, passed, model,
+					new Writer(exchange, record, body, chat, enteredMs, model.answerDeadlineMs()));
 		}
 		finally {
 			this.parts.drafts().leave(passed.team().name(), this.parts.ticker().nowMs() - enteredMs);
@@ -113,25 +114,32 @@
 
 		private final boolean chat;
 
+		private final long enteredMs;
+
+		private final long allowedMs;
+
 		private boolean begun;
 
-		private boolean first = true;
+		private int count;
 
-		Writer(Exchange exchange, RequestRecord record, DraftBody body, boolean chat) {
+		Writer(Exchange exchange, RequestRecord record, DraftBody body, boolean chat, long enteredMs, long allowedMs) {
 			this.exchange = exchange;
 			this.record = record;
 			this.body = body;
 			this.chat = chat;
+			this.enteredMs = enteredMs;
+			this.allowedMs = allowedMs;
 		}
 
 		@Override
 		public void token(String token) {
-			if (this.first) {
-				this.first = false;
-				DraftHandler.this.parts.metrics()
-					.firstToken(this.body.model(),
-							DraftHandler.this.parts.ticker().nowMs() - this.record.startedAtMs());
+			EntryParts entry = DraftHandler.this.parts;
+			long nowMs = entry.ticker().nowMs();
+			if (this.count++ == 0) {
+				entry.metrics().firstToken(this.body.model(), nowMs - this.record.startedAtMs());
 			}
+			double paceMs = (double) (nowMs - this.enteredMs) * this.body.maxTokens() / this.count;
+			entry.drafts().paced(nowMs, paceMs, this.allowedMs);
 			if (this.body.stream()) {
 				begin();
 				event(chunk(token, null).toString());
--- a/whinjunction-entry/src/main/java/io/whinjunction/entry/Entry.java
+++ b/whinjunction-entry/src/main/java/io/whinjunction/entry/Entry.java
@@ -12,6 +12,7 @@
 import com.google.common.flogger.FluentLogger;
 import io.netty.handler.ssl.SslContext;
 import io.whinjunction.admission.AdmissionQueue;
+import io.whinjunction.admission.ConcurrencyLimit;
 import io.whinjunction.configuration.ConfigurationHolder;
 import io.whinjunction.configuration.Freshness;
 import io.whinjunction.engine.HttpEngineClient;
@@ -99,8 +100,9 @@
 				() -> System.currentTimeMillis() / 1000);
 		Gate gate = new Gate(configuration, freshness, settings.failureDomain(), this.ticker);
 		this.parts = new EntryParts(settings, this.ticker, gate, upstreams, members, limits,
-				new AdmissionQueue(settings.limits().streams(), settings.limits().waiting()),
-				new AdmissionQueue(settings.limits().plainCalls(), settings.limits().plainCalls()),
+				new AdmissionQueue(ConcurrencyLimit.learned(settings.limits().streams()), settings.limits().waiting()),
+				new AdmissionQueue(ConcurrencyLimit.learned(settings.limits().plainCalls()),
+						settings.limits().plainCalls()),
 				new PipelineChooser(upstreams, ChoicePolicy.standard(), this.ticker, random), engines, caller, claims,
 				new RetryBudget(RETRY_PART, Math.max(RETRY_RESERVE, settings.limits().streams())), new EntryMetrics(),
 				this.closer.register(Tracing.create(settings.id(), settings.otlpEndpoint())), new DecisionLog());
--- a/whinjunction-entry/src/main/java/io/whinjunction/entry/OperatorHandler.java
+++ b/whinjunction-entry/src/main/java/io/whinjunction/entry/OperatorHandler.java
@@ -83,6 +83,7 @@
 
 	private Reply metrics() {
 		this.parts.metrics().state("running", this.parts.drafts().running());
+		this.parts.metrics().state("limit", this.parts.drafts().limit());
 		this.parts.metrics().state("waiting", this.parts.drafts().waiting());
 		this.parts.metrics().state("revision", this.configuration.configuration().revision());
 		this.parts.metrics().state("confirmation_age_ms", this.freshness.ageMs(this.parts.ticker().nowMs()));
@@ -101,6 +102,7 @@
 		node.put("stopping", !this.parts.gate().ready());
 		node.put("in_progress", this.inProgress.count());
 		node.put("running", this.parts.drafts().running());
+		node.put("limit", this.parts.drafts().limit());
 		node.put("waiting", this.parts.drafts().waiting());
 		ArrayNode members = node.putArray("members");
 		for (Member member : this.parts.members().members()) {
--- a/whinjunction-entry/src/main/java/io/whinjunction/entry/ServiceHandler.java
+++ b/whinjunction-entry/src/main/java/io/whinjunction/entry/ServiceHandler.java
@@ -75,7 +75,9 @@
 			return dispatch(sending);
 		}
 		finally {
-			this.parts.calls().leave(passed.team().name(), this.parts.ticker().nowMs() - enteredMs);
+			long nowMs = this.parts.ticker().nowMs();
+			this.parts.calls().paced(nowMs, nowMs - enteredMs, service.callTimeoutMs());
+			this.parts.calls().leave(passed.team().name(), nowMs - enteredMs);
 		}
 	}
 
--- a/whinjunction-entry/src/test/java/io/whinjunction/entry/BadInputTests.java
+++ b/whinjunction-entry/src/test/java/io/whinjunction/entry/BadInputTests.java
@@ -97,6 +97,7 @@
 		assertThat(post("content-length: 2\r\ntransfer-encoding: chunked",
 				"0\r\n\r\nGET /smuggled HTTP/1.1\r\nhost: x\r\n\r\n"))
 			.startsWith("HTTP/1.1 400")
+			.contains("Both content-length and transfer-encoding are given")
 			.satisfies(BadInputTests::isOneAnswer);
 		assertThat(post("transfer-encoding: xchunked", "0\r\n\r\n")).startsWith("HTTP/1.1 400")
 			.satisfies(BadInputTests::isOneAnswer);
