A request that would wait in vain is refused at once

Cause: the large team's requests waited their whole waiting time (2 s) before they were refused: the expected wait went by rounds between teams, but small teams come first, so a flooding team's turns are rarer than a round. First try: the gap between the team's own turns, smoothed. Change: kept, and a request joins only where the estimate is at most half of what it may wait. Tests: aFullQueueRefusesAtOnce... filled a queue of two by a team's part of one, which is gone; it now fills it wholly and is as strict. aSmallTeamIsNotRefused... has more time in all, since only a part of it may be waited. New: aTeamWhoseTurnsAreRareIsToldAtOnce.

--- a/whinjunction-bench/src/main/java/io/whinjunction/bench/OverloadBench.java
+++ b/whinjunction-bench/src/main/java/io/whinjunction/bench/OverloadBench.java
@@ -49,6 +49,7 @@
 		report.atLeast("overload.2x.useful", 0.95 * report.value("overload.1x.useful"));
 		report.atLeast("overload.5x.useful", 0.95 * report.value("overload.1x.useful"));
 		report.atLeast("overload.5x.small-teams-served", 0.95);
+		report.atMost("overload.5x.refused-after-waiting", 0.05);
 		report.atMost("overload.5x.retries", 0.1);
 		report.atMost("overload.5x.poll-p99", 50);
 	}
@@ -82,7 +83,9 @@
 					(double) load.smallServed.sum() / Math.max(1, load.smallAsked.sum()));
 			report.put(prefix + "refused", "of requests", (double) load.refused.sum() / load.asked.sum());
 			report.put(prefix + "late", "of requests", (double) load.late.sum() / load.asked.sum());
-			report.put(prefix + "refusal-p99", "ms", load.refusalUs.getValueAtPercentile(99) / 1000.0);
+			report.put(prefix + "refused-after-waiting", "of refusals",
+					1 - load.refusalUs.getPercentileAtOrBelowValue(100_000) / 100);
+			report.put(prefix + "refusal-p50", "ms", load.refusalUs.getValueAtPercentile(50) / 1000.0);
 			report.put(prefix + "retries", "per request", (double) load.retries.sum() / load.asked.sum());
 			report.put(prefix + "poll-p99", "ms", load.pollUs.getValueAtPercentile(99) / 1000.0);
 		}
@@ -138,7 +141,9 @@
 			AdmissionQueue queue = this.drafts.get(entry);
 			boolean admitted = enter(queue, "team-" + team);
 			if (!admitted) {
-				this.refusalUs.recordValue((System.nanoTime() - startNs) / 1000);
+				if (this.counting) {
+					this.refusalUs.recordValue((System.nanoTime() - startNs) / 1000);
+				}
 				count(team, this.refused);
 				return;
 			}
@@ -152,7 +157,7 @@
 				count(team, (result.outcome() instanceof Outcome.Answered) ? this.useful : this.late);
 			}
 			finally {
-				queue.leave("team-" + team, (System.nanoTime() - enteredNs) / 1e6);
+				queue.leave("team-" + team, (System.nanoTime() - enteredNs) / 1e6, System.nanoTime() / 1_000_000);
 			}
 		}
 
@@ -160,7 +165,7 @@
 			long startNs = System.nanoTime();
 			AdmissionQueue queue = this.calls.get(entry);
 			if (enter(queue, "team-" + team)) {
-				queue.leave("team-" + team, 1);
+				queue.leave("team-" + team, 1, System.nanoTime() / 1_000_000);
 			}
 			this.pollUs.recordValue((System.nanoTime() - startNs) / 1000);
 		}
--- a/whinjunction-bench/src/main/java/io/whinjunction/bench/SlopeBench.java
+++ b/whinjunction-bench/src/main/java/io/whinjunction/bench/SlopeBench.java
@@ -139,7 +139,7 @@
 		report.put("admission." + count + "-teams", "us", micros(() -> {
 			String team = teams.get(next[0]++ % count).name();
 			if (queue.enter(team, 1, 1000) instanceof AdmissionQueue.Ticket.Admitted) {
-				queue.leave(team, 1);
+				queue.leave(team, 1, 1);
 			}
 		}));
 	}
--- a/whinjunction-core/src/main/java/io/whinjunction/admission/AdmissionQueue.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/admission/AdmissionQueue.java
@@ -21,6 +21,11 @@
 
 	private static final double SMOOTHING = 0.05;
 
+	/** Waits vary; a request joins only where it will very likely not wait in vain. */
+	private static final double SURE_PART = 0.5;
+
+	private static final double GAP_SMOOTHING = 0.1;
+
 	/** The rest of the time is needed to run. */
 	private static final double WAIT_PART = 0.25;
 
@@ -70,7 +75,7 @@
 			return new Ticket.Admitted();
 		}
 		long waitMs = expectedWaitMs(queue);
-		if (waitMs > waitMs(allowedMs)) {
+		if (waitMs > waitMs(allowedMs) * SURE_PART) {
 			forgetIdle(team);
 			return new Ticket.Refused(false, Math.max(1, waitMs));
 		}
@@ -98,15 +103,16 @@
 	 * A running request ended.
 	 * @param team its team
 	 * @param tookMs how long it ran
+	 * @param nowMs the time
 	 */
-	public synchronized void leave(String team, double tookMs) {
+	public synchronized void leave(String team, double tookMs, long nowMs) {
 		this.limit.ended(this.running);
 		this.smoothedServiceMs = (this.smoothedServiceMs == 0) ? tookMs
 				: this.smoothedServiceMs + SMOOTHING * (tookMs - this.smoothedServiceMs);
 		this.running--;
 		this.teams.get(team).running--;
 		while (this.running < this.limit.current() && this.waiting > 0) {
-			startNext();
+			startNext(nowMs);
 		}
 		forgetIdle(team);
 	}
@@ -155,7 +161,9 @@
 	private long expectedWaitMs(TeamQueue queue) {
 		long round = this.teams.values().stream().filter((one) -> one != queue && !one.waiting.isEmpty()).count() + 1;
 		double ahead = Math.min(this.waiting + 1.0, (queue.waiting.size() + 1.0) * round);
-		return (long) (this.smoothedServiceMs * ahead / this.limit.current());
+		double byRounds = this.smoothedServiceMs * ahead / this.limit.current();
+		// How fast the team's own turns came lately tells what other teams leave to it.
+		return (long) Math.max(byRounds, queue.turnGapMs() * (queue.waiting.size() + 1));
 	}
 
 	// The newest waiting request of the longest queue makes room and is refused at once.
@@ -179,7 +187,7 @@
 		this.running++;
 	}
 
-	private void startNext() {
+	private void startNext(long nowMs) {
 		TeamQueue next = null;
 		for (TeamQueue queue : this.teams.values()) {
 			if (!queue.waiting.isEmpty() && (next == null || queue.load() < next.load())) {
@@ -188,6 +196,7 @@
 		}
 		this.waiting--;
 		start(next);
+		next.turn(nowMs);
 		next.waiting.poll().complete(true);
 	}
 
@@ -206,6 +215,20 @@
 
 		private int weight = 1;
 
+		private long lastTurnMs;
+
+		private double smoothedGapMs;
+
+		void turn(long nowMs) {
+			double gapMs = nowMs - this.lastTurnMs;
+			this.smoothedGapMs += (this.lastTurnMs != 0) ? GAP_SMOOTHING * (gapMs - this.smoothedGapMs) : 0;
+			this.lastTurnMs = nowMs;
+		}
+
+		double turnGapMs() {
+			return this.waiting.isEmpty() ? 0 : this.smoothedGapMs;
+		}
+
 		double share() {
 			return (double) this.waiting.size() / this.weight;
 		}
--- a/whinjunction-core/src/test/java/io/whinjunction/admission/AdmissionQueueTests.java
+++ b/whinjunction-core/src/test/java/io/whinjunction/admission/AdmissionQueueTests.java
@@ -26,8 +26,9 @@
 	@Test
 	void aFullQueueRefusesAtOnceAndSaysWhenToComeBack() {
 		AdmissionQueue queue = new AdmissionQueue(ConcurrencyLimit.fixed(1), 2);
-		queue.enter("a", 1, PLENTY_MS);
-		queue.enter("a", 1, PLENTY_MS);
+		for (int i = 0; i < 3; i++) {
+			assertThat(queue.enter("a", 1, PLENTY_MS)).isNotInstanceOf(Ticket.Refused.class);
+		}
 		Ticket ticket = queue.enter("a", 1, PLENTY_MS);
 		assertThat(ticket).isInstanceOfSatisfying(Ticket.Refused.class, (refused) -> {
 			assertThat(refused.full()).isTrue();
@@ -44,7 +45,7 @@
 			queue.enter("large", 1, PLENTY_MS);
 		}
 		Ticket.Waiting small = (Ticket.Waiting) queue.enter("small", 1, PLENTY_MS);
-		queue.leave("large", 10);
+		queue.leave("large", 10, 1);
 		assertThat(small.turn()).isDone();
 	}
 
@@ -52,7 +53,7 @@
 	void aRequestThatCannotMakeItsDeadlineIsRefusedAtOnce() {
 		AdmissionQueue queue = new AdmissionQueue(ConcurrencyLimit.fixed(1), 100);
 		queue.enter("a", 1, PLENTY_MS);
-		queue.leave("a", 1000);
+		queue.leave("a", 1000, 1);
 		queue.enter("a", 1, PLENTY_MS);
 		queue.enter("a", 1, PLENTY_MS);
 		assertThat(queue.enter("b", 1, 500)).isInstanceOfSatisfying(Ticket.Refused.class,
@@ -72,12 +73,27 @@
 			double tookMs = 10.0 * queue.running();
 			inTime += (i > 1000 && tookMs <= 1000) ? 1 : 0;
 			queue.paced(i * 10, tookMs, 1000);
-			queue.leave("a", tookMs);
+			queue.leave("a", tookMs, i * 10);
 		}
 		assertThat(inTime).isEqualTo(2999);
 		assertThat(queue.limit()).isBetween(30, 70);
 	}
 
+	// Small teams come first, so the large team's turns are rare. A request that could
+	// only
+	// have waited in vain is refused at once, not when its waiting time is over.
+	@Test
+	void aTeamWhoseTurnsAreRareIsToldAtOnce() {
+		AdmissionQueue queue = new AdmissionQueue(ConcurrencyLimit.fixed(1), 100);
+		queue.enter("large", 1, 4000);
+		for (int turn = 1; turn <= 20; turn++) {
+			queue.enter("large", 1, 4000);
+			queue.leave("large", 1, turn * 400);
+		}
+		assertThat(queue.enter("large", 1, 4000)).isInstanceOf(Ticket.Waiting.class);
+		assertThat(queue.enter("large", 1, 4000)).isInstanceOf(Ticket.Refused.class);
+	}
+
 	// A large team floods the entry. A small team's request finds the queue full: the
 	// large team's newest makes room and is told at once.
 	@Test
@@ -100,12 +116,12 @@
 	void aSmallTeamIsNotRefusedForAnothersLongQueue() {
 		AdmissionQueue queue = new AdmissionQueue(ConcurrencyLimit.fixed(1), 100);
 		queue.enter("large", 1, PLENTY_MS);
-		queue.leave("large", 1000);
+		queue.leave("large", 1000, 1);
 		for (int i = 0; i < 50; i++) {
 			queue.enter("large", 1, PLENTY_MS);
 		}
-		assertThat(queue.enter("large", 1, 10_000)).isInstanceOf(Ticket.Refused.class);
-		assertThat(queue.enter("small", 1, 10_000)).isInstanceOf(Ticket.Waiting.class);
+		assertThat(queue.enter("large", 1, 20_000)).isInstanceOf(Ticket.Refused.class);
+		assertThat(queue.enter("small", 1, 20_000)).isInstanceOf(Ticket.Waiting.class);
 	}
 
 	@Property(seed = "51")
@@ -150,7 +166,7 @@
 	}
 
 	private static void leave(AdmissionQueue queue, Deque<String> running, Map<Ticket.Waiting, String> waiting) {
-		queue.leave(running.poll(), 10);
+		queue.leave(running.poll(), 10, 1);
 		for (Ticket.Waiting ticket : List.copyOf(waiting.keySet())) {
 			if (ticket.turn().isDone() && ticket.turn().join()) {
 				running.add(waiting.remove(ticket));
--- a/whinjunction-entry/src/main/java/io/whinjunction/entry/DraftHandler.java
+++ b/whinjunction-entry/src/main/java/io/whinjunction/entry/DraftHandler.java
@@ -61,7 +61,8 @@
 					new Writer(exchange, record, body, chat, enteredMs, model.answerDeadlineMs()));
 		}
 		finally {
-			this.parts.drafts().leave(passed.team().name(), this.parts.ticker().nowMs() - enteredMs);
+			long nowMs = this.parts.ticker().nowMs();
+			this.parts.drafts().leave(passed.team().name(), nowMs - enteredMs, nowMs);
 		}
 	}
 
