A frozen engine is noticed by its own usual step time

Change: after the prompt's step the limit is 20 times the engine's smoothed step time, at least 250 ms and at most the configured one.

--- a/whinjunction-core/src/main/java/io/whinjunction/session/DraftSession.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/session/DraftSession.java
@@ -31,6 +31,10 @@
 
 	private static final int RETRY_AFTER_S = 1;
 
+	private static final long LEAST_STEP_LIMIT_MS = 250;
+
+	private static final double USUAL_TIMES = 20;
+
 	private final DraftRequest request;
 
 	private final PipelineChooser chooser;
@@ -173,8 +177,7 @@
 
 	private List<String> step(Upstream stage, Step step, HopRecorder recorder) {
 		long startMs = this.ticker.nowMs();
-		long timeoutMs = Math.max(1,
-				Math.min(this.request.model().stepTimeoutMs(), this.request.deadlineMs() - startMs));
+		long timeoutMs = Math.max(1, Math.min(stepLimitMs(stage, step), this.request.deadlineMs() - startMs));
 		this.ledger.open(step);
 		StepResult result = this.engines.step(stage.address(), step, timeoutMs);
 		long tookMs = this.ticker.nowMs() - startMs;
@@ -214,6 +217,18 @@
 		return this.ticker.nowMs() >= this.request.deadlineMs();
 	}
 
+	// A frozen engine shows as silence. Where its usual step time is known, a multiple of
+	// that tells silence from work much sooner than the configured limit; a prompt's step
+	// has no usual time.
+	private long stepLimitMs(Upstream stage, Step step) {
+		double usualMs = this.table.load(stage.id()).smoothedMs();
+		long limitMs = this.request.model().stepTimeoutMs();
+		if (step.position() == 0 || usualMs == 0) {
+			return limitMs;
+		}
+		return Math.min(limitMs, Math.max(LEAST_STEP_LIMIT_MS, (long) (usualMs * USUAL_TIMES)));
+	}
+
 	private void fail(Upstream stage, HopRecorder recorder, long tookMs, String reason) {
 		recorder.failed(tookMs, reason);
 		this.avoided.add(stage.id());
