--- a/whinjunction-bench/src/main/java/io/whinjunction/bench/SpreadBench.java
+++ b/whinjunction-bench/src/main/java/io/whinjunction/bench/SpreadBench.java
@@ -3,8 +3,6 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.lang.management.ManagementFactory;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -23,6 +21,7 @@
 import io.whinjunction.peer.PeerServer;
 import io.whinjunction.peer.PeerTransport;
 import io.whinjunction.pipeline.UpstreamTable;
+import io.whinjunction.standins.FreePorts;
 import io.whinjunction.time.Closer;
 import io.whinjunction.time.Ticker;
 
@@ -56,7 +55,7 @@
 		try (Closer closer = new Closer()) {
 			List<Integer> ports = new ArrayList<>();
 			for (int i = 0; i < size; i++) {
-				ports.add(freePort());
+				ports.add(FreePorts.next());
 			}
 			for (int i = 0; i < size; i++) {
 				nodes.add(closer.register(new Node(i, ports)));
@@ -109,15 +108,6 @@
 		}
 	}
 
-	private static int freePort() {
-		try (ServerSocket socket = new ServerSocket(0, 0, InetAddress.getLoopbackAddress())) {
-			return socket.getLocalPort();
-		}
-		catch (IOException ex) {
-			throw new UncheckedIOException(ex);
-		}
-	}
-
 	private static final class Node implements AutoCloseable {
 
 		private final ConfigurationHolder configuration = new ConfigurationHolder();
--- a/whinjunction-core/src/main/java/io/whinjunction/session/DraftSession.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/session/DraftSession.java
@@ -59,6 +59,8 @@
 
 	private int attempt;
 
+	private int rounds;
+
 	public DraftSession(DraftRequest request, PipelineChooser chooser, UpstreamTable table, EngineClient engines,
 			RetryBudget budget, Ticker ticker) {
 		this.request = request;
@@ -86,8 +88,7 @@
 
 	private Outcome attempts(TokenSink sink) {
 		while (true) {
-			Choice choice = this.chooser.pipeline(this.request.model(), this.request.team(), this.request.rules(),
-					this.avoided);
+			Choice choice = choose();
 			if (!(choice instanceof Choice.Chosen chosen)) {
 				return refuse(choice);
 			}
@@ -115,6 +116,19 @@
 		}
 	}
 
+	private Choice choose() {
+		Choice choice = this.chooser.pipeline(this.request.model(), this.request.team(), this.request.rules(),
+				this.avoided);
+		if (choice instanceof Choice.NoneAlive && !this.avoided.isEmpty()
+				&& this.rounds++ < this.request.model().ranges().size()) {
+			// Every holder has failed this draft once; a stall that hit them all may be
+			// over.
+			this.avoided.clear();
+			return choose();
+		}
+		return choice;
+	}
+
 	private AttemptEnd attempt(Pipeline pipeline, TokenSink sink) {
 		this.ledger.abandon();
 		List<UpstreamLoad> loads = new ArrayList<>();
--- a/whinjunction-entry/src/test/java/io/whinjunction/entry/LocalSystem.java
+++ b/whinjunction-entry/src/test/java/io/whinjunction/entry/LocalSystem.java
@@ -2,8 +2,6 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
 import java.util.ArrayList;
@@ -26,6 +24,7 @@
 import io.whinjunction.standins.EngineServer;
 import io.whinjunction.standins.FakeEngine;
 import io.whinjunction.standins.FakeObjectStore;
+import io.whinjunction.standins.FreePorts;
 import io.whinjunction.standins.PlatformServer;
 import io.whinjunction.time.Closer;
 import tools.jackson.databind.node.ObjectNode;
@@ -101,7 +100,7 @@
 
 	LocalSystem entries(int count) {
 		for (int i = 0; i < count; i++) {
-			this.peerPorts.add(freePort());
+			this.peerPorts.add(FreePorts.next());
 		}
 		for (int i = 0; i < count; i++) {
 			startEntry(i, this.platform);
@@ -117,7 +116,7 @@
 	 */
 	Entry startEntry(int index, String platformAddress) {
 		while (this.peerPorts.size() <= index) {
-			this.peerPorts.add(freePort());
+			this.peerPorts.add(FreePorts.next());
 		}
 		List<String> seeds = this.peerPorts.stream().map((port) -> "127.0.0.1:" + port).toList();
 		EntrySettings settings = new EntrySettings("entry-" + index, DOMAINS.get(index % DOMAINS.size()), "127.0.0.1",
@@ -227,15 +226,6 @@
 		return "127.0.0.1:" + server.port();
 	}
 
-	private static int freePort() {
-		try (ServerSocket socket = new ServerSocket(0, 0, InetAddress.getLoopbackAddress())) {
-			return socket.getLocalPort();
-		}
-		catch (IOException ex) {
-			throw new UncheckedIOException(ex);
-		}
-	}
-
 	private static String configuration() {
 		StringBuilder toml = new StringBuilder("""
 				[places.poa]
--- a/whinjunction-entry/src/test/java/io/whinjunction/promises/EachLayerOnceTests.java
+++ b/whinjunction-entry/src/test/java/io/whinjunction/promises/EachLayerOnceTests.java
@@ -107,6 +107,18 @@
 		assertThat(world.table.all().keySet()).noneMatch((id) -> world.table.load(id).paused(world.ticker.nowMs()));
 	}
 
+	// Every engine is silent for a moment once, as when a link stalls. No holder of a
+	// range
+	// is left that has not failed this draft, but all of them are well again.
+	@Test
+	void aDraftTriesHoldersAgainThatFailedItOnceBeforeItGivesUp() {
+		World world = new World(1, 0);
+		world.engines.eachSilentOnce();
+		DraftResult result = world.draft("r", "a", new Collector(Integer.MAX_VALUE));
+		assertThat(result.outcome()).isInstanceOf(Outcome.Answered.class);
+		assertThat(result.tokens()).isEqualTo(ReferenceModel.draft("a", LAYERS, TOKENS));
+	}
+
 	// The caller leaves in the middle. No further step may be sent for it.
 	@Property(seed = "73", tries = 50)
 	void nothingRunsForACallerThatLeft(@ForAll @IntRange(min = 1, max = TOKENS - 1) int leavesAfter) {
--- a/whinjunction-entry/src/test/java/io/whinjunction/promises/FaultyEngines.java
+++ b/whinjunction-entry/src/test/java/io/whinjunction/promises/FaultyEngines.java
@@ -2,9 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 
 import io.whinjunction.engine.EngineClient;
 import io.whinjunction.pipeline.Upstream;
@@ -28,6 +30,8 @@
 
 	private final int faultPercent;
 
+	private final Set<String> silentOnce = new HashSet<>();
+
 	private boolean doubling;
 
 	private long answerAfterMs = 1;
@@ -49,6 +53,10 @@
 		this.doubling = true;
 	}
 
+	void eachSilentOnce() {
+		this.silentOnce.addAll(this.engines.keySet());
+	}
+
 	void answerAfterMs(long durationMs) {
 		this.answerAfterMs = durationMs;
 	}
@@ -59,6 +67,10 @@
 
 	@Override
 	public StepResult step(String address, Step step, long timeoutMs) {
+		if (step.position() > 0 && this.silentOnce.remove(address)) {
+			this.ticker.advance(timeoutMs);
+			return new StepResult.Failed("silent", true);
+		}
 		if (this.answerAfterMs > timeoutMs) {
 			run(address, step);
 			this.ticker.advance(timeoutMs);
