A tightened place rule is in force for drafts that run

Cause, found by reading: a draft took the place rules of its admission along to its end, so a long draft went on sending its team's data to a place that was forbidden meanwhile, for up to its deadline (60 s), although the configuration counts as in force within 8 s. Change: DraftRequest asks for the placement in force; before each token the session looks whether all stages are still permitted, and otherwise goes on elsewhere, or ends where the team is gone or the configuration cannot be confirmed any more.

--- a/whinjunction-bench/src/main/java/io/whinjunction/bench/BenchFleet.java
+++ b/whinjunction-bench/src/main/java/io/whinjunction/bench/BenchFleet.java
@@ -20,6 +20,7 @@
 import io.whinjunction.pipeline.Upstream;
 import io.whinjunction.pipeline.UpstreamTable;
 import io.whinjunction.place.PlaceRules;
+import io.whinjunction.place.Placement;
 import io.whinjunction.session.DraftRequest;
 import io.whinjunction.session.DraftResult;
 import io.whinjunction.session.DraftSession;
@@ -56,8 +57,8 @@
 
 	private final Team team = new Team("t", Set.of(), Set.of("llm"), Set.of("p"), 1e9, 1);
 
-	private final PlaceRules rules = new PlaceRules(
-			new Configuration(1, Map.of("p", new Place("p", "r", Set.copyOf(DOMAINS))), Map.of(), Map.of()));
+	private final Placement placement = new Placement(this.team, new PlaceRules(
+			new Configuration(1, Map.of("p", new Place("p", "r", Set.copyOf(DOMAINS))), Map.of(), Map.of())));
 
 	private final BenchEngines engines = new BenchEngines();
 
@@ -128,7 +129,7 @@
 
 	DraftResult draft(int entry, String id, int tokens, long deadlineMs, TokenSink sink) {
 		EntrySlice slice = this.entries.get(entry % ENTRIES);
-		DraftRequest request = new DraftRequest(id, this.model, this.team, this.rules, "p", tokens,
+		DraftRequest request = new DraftRequest(id, this.model, () -> this.placement, "p", tokens,
 				this.ticker.nowMs() + deadlineMs);
 		return new DraftSession(request, slice.chooser(), slice.table(), this.engines, slice.budget(), this.ticker)
 			.run(sink);
--- a/whinjunction-bench/src/main/java/io/whinjunction/bench/SlopeBench.java
+++ b/whinjunction-bench/src/main/java/io/whinjunction/bench/SlopeBench.java
@@ -28,6 +28,7 @@
 import io.whinjunction.pipeline.Upstream;
 import io.whinjunction.pipeline.UpstreamTable;
 import io.whinjunction.place.PlaceRules;
+import io.whinjunction.place.Placement;
 import io.whinjunction.time.Ticker;
 import tools.jackson.databind.node.ObjectNode;
 
@@ -93,8 +94,8 @@
 		report.put("table-memory." + count + "-upstreams", "KB", Math.max(0, usedBytes() - before) / 1024.0);
 		report.put("table-replace." + count + "-upstreams", "us", micros(() -> table.replace(upstreams)));
 		PipelineChooser chooser = new PipelineChooser(table, ChoicePolicy.standard(), Ticker.system(), new Random(1));
-		PlaceRules rules = new PlaceRules(configuration);
-		Runnable choose = () -> this.sink = chooser.pipeline(MODEL, TEAM, rules, Set.of());
+		Placement placement = new Placement(TEAM, new PlaceRules(configuration));
+		Runnable choose = () -> this.sink = chooser.pipeline(MODEL, placement, Set.of());
 		report.put("choose." + count + "-upstreams", "us", micros(choose));
 		report.put("choose-allocation." + count + "-upstreams", "bytes", allocated(choose));
 		List<Upstream> holed = upstreams.stream().filter((one) -> !one.id().endsWith("7")).toList();
--- a/whinjunction-core/src/main/java/io/whinjunction/pipeline/PipelineChooser.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/pipeline/PipelineChooser.java
@@ -8,8 +8,7 @@
 
 import io.whinjunction.configuration.LayerRange;
 import io.whinjunction.configuration.Service;
-import io.whinjunction.configuration.Team;
-import io.whinjunction.place.PlaceRules;
+import io.whinjunction.place.Placement;
 import io.whinjunction.time.Ticker;
 
 /**
@@ -45,16 +44,14 @@
 	/**
 	 * Chooses a pipeline for a model.
 	 * @param model the model
-	 * @param team whose data it is
-	 * @param rules the place rules in force
+	 * @param placement where the data may be
 	 * @param avoided instances that already failed this request
 	 * @return a pipeline, or why there is none
 	 */
-	public Choice pipeline(Service.Model model, Team team, PlaceRules rules, Set<String> avoided) {
+	public Choice pipeline(Service.Model model, Placement placement, Set<String> avoided) {
 		List<Upstream> stages = new ArrayList<>(model.ranges().size());
 		for (LayerRange range : model.ranges()) {
-			Choice choice = one(this.table.byFailureDomain(model.name(), range), team, rules, avoided,
-					"layers " + range);
+			Choice choice = one(this.table.byFailureDomain(model.name(), range), placement, avoided, "layers " + range);
 			if (!(choice instanceof Choice.Chosen chosen)) {
 				return choice;
 			}
@@ -66,21 +63,19 @@
 	/**
 	 * Chooses an upstream of a plain service.
 	 * @param service the service
-	 * @param team whose data it is
-	 * @param rules the place rules in force
+	 * @param placement where the data may be
 	 * @param avoided instances that already failed this request
 	 * @return a pipeline of one stage, or why there is none
 	 */
-	public Choice plain(Service.Plain service, Team team, PlaceRules rules, Set<String> avoided) {
-		return one(this.table.byFailureDomain(service.name(), null), team, rules, avoided, "service " + service.name());
+	public Choice plain(Service.Plain service, Placement placement, Set<String> avoided) {
+		return one(this.table.byFailureDomain(service.name(), null), placement, avoided, "service " + service.name());
 	}
 
-	private Choice one(Map<String, List<Upstream>> holders, Team team, PlaceRules rules, Set<String> avoided,
-			String what) {
+	private Choice one(Map<String, List<Upstream>> holders, Placement placement, Set<String> avoided, String what) {
 		List<List<Upstream>> permitted = new ArrayList<>(holders.size());
 		int count = 0;
 		for (Map.Entry<String, List<Upstream>> domain : holders.entrySet()) {
-			if (rules.permits(team, domain.getKey())) {
+			if (placement.permits(domain.getKey())) {
 				permitted.add(domain.getValue());
 				count += domain.getValue().size();
 			}
--- a/whinjunction-core/src/main/java/io/whinjunction/session/DraftRequest.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/session/DraftRequest.java
@@ -1,20 +1,21 @@
 package io.whinjunction.session;
 
+import java.util.function.Supplier;
+
 import io.whinjunction.configuration.Service;
-import io.whinjunction.configuration.Team;
-import io.whinjunction.place.PlaceRules;
+import io.whinjunction.place.Placement;
 
 /**
  * One draft to be made. Immutable.
  *
  * @param id the request id
  * @param model the model
- * @param team whose data it is
- * @param rules the place rules in force when it was admitted
+ * @param placement where its data may be at the time of asking; {@code null}: nowhere, or
+ * not known any more
  * @param prompt the prompt; never logged
  * @param maxTokens how many tokens to make
  * @param deadlineMs when the answer must be whole, on the entry's ticker
  */
-public record DraftRequest(String id, Service.Model model, Team team, PlaceRules rules, String prompt, int maxTokens,
+public record DraftRequest(String id, Service.Model model, Supplier<Placement> placement, String prompt, int maxTokens,
 		long deadlineMs) {
 }
--- a/whinjunction-core/src/main/java/io/whinjunction/session/DraftSession.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/session/DraftSession.java
@@ -17,6 +17,7 @@
 import io.whinjunction.pipeline.Upstream;
 import io.whinjunction.pipeline.UpstreamLoad;
 import io.whinjunction.pipeline.UpstreamTable;
+import io.whinjunction.place.Placement;
 import io.whinjunction.time.Ticker;
 
 /**
@@ -57,6 +58,8 @@
 
 	private final Set<Upstream> touched = new HashSet<>();
 
+	private Placement placement;
+
 	private int attempt;
 
 	private int rounds;
@@ -88,6 +91,11 @@
 
 	private Outcome attempts(TokenSink sink) {
 		while (true) {
+			this.placement = this.request.placement().get();
+			if (this.placement == null) {
+				return givenUp(Code.CONFIGURATION_UNCONFIRMED,
+						"Where the data may be has changed, or is not known any more.");
+			}
 			Choice choice = choose();
 			if (!(choice instanceof Choice.Chosen chosen)) {
 				return refuse(choice);
@@ -104,6 +112,9 @@
 				case AttemptEnd.TooLate ignored -> {
 					return givenUp(Code.DEADLINE, "The answer was not whole before its deadline.");
 				}
+				case AttemptEnd.RuleChanged ignored -> {
+					// Goes on where the data may be now, or ends; no engine is to blame.
+				}
 				case AttemptEnd.StageFailed ignored -> {
 					if (late()) {
 						return givenUp(Code.DEADLINE, "The answer was not whole before its deadline.");
@@ -117,8 +128,7 @@
 	}
 
 	private Choice choose() {
-		Choice choice = this.chooser.pipeline(this.request.model(), this.request.team(), this.request.rules(),
-				this.avoided);
+		Choice choice = this.chooser.pipeline(this.request.model(), this.placement, this.avoided);
 		if (choice instanceof Choice.NoneAlive && !this.avoided.isEmpty()
 				&& this.rounds++ < this.request.model().ranges().size()) {
 			// Every holder has failed this draft once; a stall that hit them all may be
@@ -162,6 +172,9 @@
 			if (late()) {
 				return new AttemptEnd.TooLate();
 			}
+			if (!stillPermitted(pipeline)) {
+				return new AttemptEnd.RuleChanged();
+			}
 			String token = token(pipeline, recorders, position, inputs);
 			if (token == null) {
 				return new AttemptEnd.StageFailed();
@@ -175,12 +188,22 @@
 		return new AttemptEnd.Whole();
 	}
 
+	// A place rule may be tightened while a long draft runs; it is in force for the next
+	// token, not only for the next draft.
+	private boolean stillPermitted(Pipeline pipeline) {
+		Placement now = this.request.placement().get();
+		if (now == this.placement) {
+			return true;
+		}
+		return now != null && pipeline.stages().stream().allMatch((stage) -> now.permits(stage.failureDomain()));
+	}
+
 	private String token(Pipeline pipeline, List<HopRecorder> recorders, int position, List<String> inputs) {
 		List<String> values = inputs;
 		for (int i = 0; i < pipeline.stages().size(); i++) {
 			Upstream stage = pipeline.stages().get(i);
 			Step step = new Step(this.request.id(), this.attempt, position, stage.range(), stage.generation(), values,
-					this.request.team().weight());
+					this.placement.team().weight());
 			values = step(stage, step, recorders.get(i));
 			if (values == null) {
 				return null;
@@ -252,7 +275,7 @@
 	private Outcome refuse(Choice choice) {
 		return switch (choice) {
 			case Choice.NonePermitted none -> givenUp(Code.PLACE_NOT_PERMITTED,
-					"No place permitted for team '" + this.request.team().name() + "' holds " + none.what() + ".");
+					"No place permitted for team '" + this.placement.team().name() + "' holds " + none.what() + ".");
 			case Choice.NoneAlive none ->
 				givenUp(Code.NO_UPSTREAM, "No permitted upstream holds " + none.what() + " now.");
 			case Choice.Chosen chosen -> throw new IllegalStateException("chosen: " + chosen);
@@ -282,6 +305,9 @@
 		record TooLate() implements AttemptEnd {
 		}
 
+		record RuleChanged() implements AttemptEnd {
+		}
+
 		record StageFailed() implements AttemptEnd {
 		}
 
--- a/whinjunction-entry/src/main/java/io/whinjunction/entry/Gate.java
+++ b/whinjunction-entry/src/main/java/io/whinjunction/entry/Gate.java
@@ -1,5 +1,7 @@
 package io.whinjunction.entry;
 
+import java.util.HashMap;
+import java.util.Map;
 import java.util.Optional;
 
 import io.whinjunction.configuration.Configuration;
@@ -12,6 +14,7 @@
 import io.whinjunction.outcome.Refusal;
 import io.whinjunction.outcome.Refusal.Code;
 import io.whinjunction.place.PlaceRules;
+import io.whinjunction.place.Placement;
 import io.whinjunction.time.Ticker;
 
 /**
@@ -76,7 +79,19 @@
 			return refused(Refusal.permanent(Code.PLACE_NOT_PERMITTED, "Data of team '" + team.get().name()
 					+ "' must not be in '" + this.failureDomain + "', where this entry is."));
 		}
-		return new Verdict.Passed(current.configuration, team.get(), current.rules);
+		return new Verdict.Passed(current.configuration, current.placements.get(team.get().name()));
+	}
+
+	/**
+	 * Where a team's data may be now.
+	 * @param team the team
+	 * @return the placement, or {@code null} where the team is gone, this entry must not
+	 * have its data any more, or the configuration cannot be confirmed
+	 */
+	Placement placement(String team) {
+		Placement placement = view().placements.get(team);
+		boolean here = placement != null && placement.permits(this.failureDomain);
+		return (here && this.freshness.mayServe(this.ticker.nowMs())) ? placement : null;
 	}
 
 	static Refusal unknownService(Verdict.Passed passed, String name) {
@@ -106,10 +121,13 @@
 
 		private final PlaceRules rules;
 
+		private final Map<String, Placement> placements = new HashMap<>();
+
 		View(Configuration configuration) {
 			this.configuration = configuration;
 			this.keys = new KeyRing(configuration);
 			this.rules = new PlaceRules(configuration);
+			configuration.teams().forEach((name, team) -> this.placements.put(name, new Placement(team, this.rules)));
 		}
 
 	}
@@ -123,14 +141,17 @@
 		 * The request may go on.
 		 *
 		 * @param configuration the configuration that it was judged by
-		 * @param team whose it is
-		 * @param rules the place rules
+		 * @param placement where its data may be
 		 */
-		record Passed(Configuration configuration, Team team, PlaceRules rules) implements Verdict {
+		record Passed(Configuration configuration, Placement placement) implements Verdict {
+
+			Team team() {
+				return this.placement.team();
+			}
 
 			Optional<Service> service(String name) {
-				return this.team.services().contains(name)
-						? Optional.ofNullable(this.configuration.services().get(name)) : Optional.empty();
+				return team().services().contains(name) ? Optional.ofNullable(this.configuration.services().get(name))
+						: Optional.empty();
 			}
 
 		}
--- a/whinjunction-entry/src/main/java/io/whinjunction/entry/ServiceHandler.java
+++ b/whinjunction-entry/src/main/java/io/whinjunction/entry/ServiceHandler.java
@@ -161,8 +161,7 @@
 		Set<String> avoided = new HashSet<>();
 		boolean lost = false;
 		while (true) {
-			Choice choice = this.parts.chooser()
-				.plain(sending.service, sending.passed.team(), sending.passed.rules(), avoided);
+			Choice choice = this.parts.chooser().plain(sending.service, sending.passed.placement(), avoided);
 			if (!(choice instanceof Choice.Chosen chosen)) {
 				return lost ? new Sent.Lost("no upstream left to try") : new Sent.NotSent(refusal(sending, choice));
 			}
--- a/whinjunction-entry/src/test/java/io/whinjunction/entry/ConfigurationInForceTests.java
+++ b/whinjunction-entry/src/test/java/io/whinjunction/entry/ConfigurationInForceTests.java
@@ -1,6 +1,9 @@
 package io.whinjunction.entry;
 
+import java.util.concurrent.CompletableFuture;
+
 import io.whinjunction.standins.FakeObjectStore.Fault;
+import io.whinjunction.standins.ReferenceModel;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -28,6 +31,34 @@
 		}
 	}
 
+	// A draft runs in two places when its team's rule is tightened to one. From then on
+	// no
+	// step may go to the other; the draft goes on where its data may be.
+	@Test
+	void aTightenedRuleIsInForceForDraftsThatRun() {
+		try (LocalSystem system = new LocalSystem().engines(5).entries(3).configure()) {
+			CompletableFuture<HttpProbe.Answer> draft = CompletableFuture
+				.supplyAsync(() -> HttpProbe.draft(system.entry(2).callerPort(), "key-1", "x", 400, true));
+			LocalSystem.await(() -> steps(system, "poa") > 20 || steps(system, "cxs") > 80);
+			system.configure(TIGHTENED);
+			// What was under way at that moment may still end.
+			LocalSystem.await(() -> steps(system, "cxs") > 200);
+			long outside = steps(system, "poa");
+			HttpProbe.Answer answer = draft.join();
+			assertThat(HttpProbe.tokens(answer.body())).isEqualTo(ReferenceModel.draft("x", LocalSystem.LAYERS, 400));
+			assertThat(steps(system, "poa")).isEqualTo(outside);
+		}
+	}
+
+	private static long steps(LocalSystem system, String place) {
+		return system.engines()
+			.entrySet()
+			.stream()
+			.filter((engine) -> engine.getKey().contains("-" + place + "-"))
+			.mapToLong((engine) -> engine.getValue().stepCount())
+			.sum();
+	}
+
 	// An entry can reach its peers but not the platform. It must still get an accepted
 	// change, from them, and keep serving on their proofs.
 	@Test
--- /dev/null
+++ b/whinjunction-entry/src/test/java/io/whinjunction/entry/OperatorPortTests.java
@@ -0,0 +1,68 @@
+package io.whinjunction.entry;
+
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * What operators see on an entry's port.
+ */
+class OperatorPortTests {
+
+	private static LocalSystem system;
+
+	@BeforeAll
+	static void start() {
+		system = new LocalSystem().engines(0).entries(1).configure();
+	}
+
+	@AfterAll
+	static void stop() {
+		system.close();
+	}
+
+	@Test
+	void explainTellsWhereADraftRanAndNothingOfItsText() {
+		HttpProbe.Answer draft = HttpProbe.draft(system.entry(0).callerPort(), "key-1", "a secret prompt", 3, false);
+		String explained = get("/explain/" + draft.header("whin-request-id").orElseThrow()).body();
+		assertThat(explained).contains("\"team\":\"team-1\"")
+			.contains("\"outcome\":\"answered\"")
+			.contains("\"layers\":\"12-16\"")
+			.doesNotContain("secret")
+			.doesNotContain("key-1")
+			.doesNotContain(HttpProbe.tokens(draft.body()).get(0).strip());
+	}
+
+	@Test
+	void explainTellsWhyARequestWasRefused() {
+		HttpProbe.Answer refused = HttpProbe.draft(system.entry(0).callerPort(), "nobody", "x", 1, false);
+		assertThat(get("/explain/" + refused.header("whin-request-id").orElseThrow()).body())
+			.contains("\"code\":\"unknown-key\"")
+			.contains("No team has this key");
+	}
+
+	@Test
+	void metricsCountOutcomesByTeamAndServiceOnly() {
+		HttpProbe.draft(system.entry(0).callerPort(), "key-2", "x", 1, false);
+		String metrics = get("/metrics").body();
+		assertThat(metrics)
+			.contains("whin_requests_total{code=\"ok\",outcome=\"answered\",service=\"whin-llm\",team=\"team-2\"}")
+			.contains("whin_state{kind=\"revision\"} 1.0")
+			.doesNotContain("r-");
+	}
+
+	@Test
+	void theLogLevelChangesAndAnUnknownOneIsRefused() {
+		int port = system.entry(0).operatorPort();
+		assertThat(HttpProbe.post(port, "/log-level?level=warn", "").status()).isEqualTo(200);
+		assertThat(HttpProbe.post(port, "/log-level?level=loud", "").status()).isEqualTo(400);
+		assertThat(HttpProbe.post(port, "/log-level?level=info", "").status()).isEqualTo(200);
+	}
+
+	private static HttpProbe.Answer get(String path) {
+		return HttpProbe.get(system.entry(0).operatorPort(), path);
+	}
+
+}
