A fresh entry's limit grows while long answers run

Cause, found by reading: the learned limit begins at 16 and grew only when answers ended, so a fresh entry kept the rest of forty long drafts waiting beside idle engines, and refused them when their waiting time was over. Change: before the first congestion each token that comes at a calm pace lets it grow too, and waiting requests start as soon as it does. Test: aFreshLimitGrowsWhileLongAnswersRun (16 of 40 ran before, by the code; all 40 after). Also: a request that the library cannot form counts as not sent, so that a claim of an action is released; the library forms the odd paths tried, so this is not shown by a test.

--- a/whinjunction-core/src/main/java/io/whinjunction/admission/AdmissionQueue.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/admission/AdmissionQueue.java
@@ -97,6 +97,7 @@
 	 */
 	public synchronized void paced(long nowMs, double paceMs, double allowedMs) {
 		this.limit.paced(nowMs, this.running, paceMs, allowedMs);
+		startWaiting(nowMs);
 	}
 
 	/**
@@ -111,9 +112,7 @@
 				: this.smoothedServiceMs + SMOOTHING * (tookMs - this.smoothedServiceMs);
 		this.running--;
 		this.teams.get(team).running--;
-		while (this.running < this.limit.current() && this.waiting > 0) {
-			startNext(nowMs);
-		}
+		startWaiting(nowMs);
 		forgetIdle(team);
 	}
 
@@ -187,6 +186,12 @@
 		this.running++;
 	}
 
+	private void startWaiting(long nowMs) {
+		while (this.running < this.limit.current() && this.waiting > 0) {
+			startNext(nowMs);
+		}
+	}
+
 	private void startNext(long nowMs) {
 		TeamQueue next = null;
 		for (TeamQueue queue : this.teams.values()) {
--- a/whinjunction-core/src/main/java/io/whinjunction/admission/ConcurrencyLimit.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/admission/ConcurrencyLimit.java
@@ -29,6 +29,8 @@
 
 	private static final double SMOOTHING = 0.02;
 
+	private static final double FIRST_GROWTH_PER_TOKEN = 0.05;
+
 	/** The limit grows only while it is in use. */
 	private static final double IN_USE_PART = 0.8;
 
@@ -86,6 +88,11 @@
 			this.current = Math.max(this.least, Math.min(this.current, running) * FALL);
 			this.quietUntilMs = nowMs + paceMs / 2;
 		}
+		else {
+			// Long answers end seldom; a fresh entry would keep most of its first callers
+			// waiting if only their ends let the limit grow.
+			grow(running, this.firstGrowth ? FIRST_GROWTH_PER_TOKEN : 0);
+		}
 	}
 
 	/**
@@ -93,8 +100,11 @@
 	 * @param running how many were running, itself included
 	 */
 	void ended(int running) {
+		grow(running, this.firstGrowth ? 1 : 1 / Math.sqrt(this.current));
+	}
+
+	private void grow(int running, double growth) {
 		if (this.smoothedPart < GROW_PART && running >= this.current * IN_USE_PART) {
-			double growth = this.firstGrowth ? 1 : 1 / Math.sqrt(this.current);
 			this.current = Math.min(this.most, this.current + growth);
 		}
 	}
--- a/whinjunction-core/src/main/java/io/whinjunction/http/HttpCaller.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/http/HttpCaller.java
@@ -86,6 +86,10 @@
 			boolean silent = ex.getCause() instanceof TimeoutException;
 			return lost(written, String.valueOf(ex.getCause()), silent);
 		}
+		catch (IllegalArgumentException ex) {
+			// The library can't form the request, a path that is no URL for example.
+			return lost(written, String.valueOf(ex.getMessage()), false);
+		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
 			future.cancel(true);
--- a/whinjunction-core/src/test/java/io/whinjunction/admission/AdmissionQueueTests.java
+++ b/whinjunction-core/src/test/java/io/whinjunction/admission/AdmissionQueueTests.java
@@ -70,6 +70,21 @@
 		assertThat(queue.limit()).isBetween(30, 70);
 	}
 
+	// A fresh entry gets forty long drafts at once. Its limit begins low; if only ended
+	// drafts let it grow, most callers would wait in vain beside idle engines.
+	@Test
+	void aFreshLimitGrowsWhileLongAnswersRun() {
+		AdmissionQueue queue = new AdmissionQueue(ConcurrencyLimit.learned(256), 256);
+		for (int i = 0; i < 40; i++) {
+			queue.enter("a", 1, 60_000);
+		}
+		assertThat(queue.waiting()).isPositive();
+		for (int token = 0; token < 1000; token++) {
+			queue.paced(token, 5000, 60_000);
+		}
+		assertThat(queue.running()).isEqualTo(40);
+	}
+
 	// A tenth of the engines degrades or a link slows: what was the right limit is too
 	// much.
 	// Answers must be in time again before long, not late for as long as it lasts.
--- a/whinjunction-core/src/test/java/io/whinjunction/http/HttpCallerTests.java
+++ b/whinjunction-core/src/test/java/io/whinjunction/http/HttpCallerTests.java
@@ -74,6 +74,16 @@
 		assertThat(this.caller.call(call(2000, true))).isInstanceOf(CallResult.NotSent.class);
 	}
 
+	// A caller's path that is no URL: the exception would have left a claim of an action
+	// behind that nobody can release.
+	@Test
+	void aPathThatIsNoUrlIsKnownNotToBeSent() {
+		serve((socket) -> answer(socket, "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n"));
+		Call bad = new Call("GET", "127.0.0.1:" + this.server.getLocalPort(), "/%zz{|\\^", List.of(),
+				new byte[] { 1, 2, 3 }, 1000, true);
+		assertThat(this.caller.call(bad)).isInstanceOfAny(CallResult.NotSent.class, CallResult.Response.class);
+	}
+
 	// A kept connection has silently died while new ones work. A call that may not be
 	// repeated must not be written to it, or its fate would be unknown for no reason.
 	@Test
