--- a/whinjunction-bench/src/main/java/io/whinjunction/bench/Report.java
+++ b/whinjunction-bench/src/main/java/io/whinjunction/bench/Report.java
@@ -5,6 +5,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.LinkedHashMap;
+import java.util.Locale;
 import java.util.Map;
 
 import io.whinjunction.configuration.Json;
@@ -23,7 +24,7 @@
 
 	void put(String name, String unit, double value) {
 		this.figures.put(name, new Figure(value, unit));
-		System.out.printf(java.util.Locale.ROOT, "%-58s %12.3f %s%n", name, value, unit);
+		System.out.printf(Locale.ROOT, "%-58s %12.3f %s%n", name, value, unit);
 	}
 
 	double value(String name) {
--- a/whinjunction-bench/src/main/java/io/whinjunction/bench/SlopeBench.java
+++ b/whinjunction-bench/src/main/java/io/whinjunction/bench/SlopeBench.java
@@ -30,6 +30,7 @@
 import io.whinjunction.place.PlaceRules;
 import io.whinjunction.place.Placement;
 import io.whinjunction.time.Ticker;
+import tools.jackson.databind.node.ArrayNode;
 import tools.jackson.databind.node.ObjectNode;
 
 /**
@@ -77,9 +78,8 @@
 		for (int count : new int[] { 1000, 2000, 4000, 8000 }) {
 			streams(report, count);
 		}
-		// A choice costs the same however large the fleet; a table read whole is linear,
-		// with
-		// half as much again for caches.
+		// A choice costs the same however large the fleet; a table read whole is
+		// linear, with half as much again for caches.
 		report.atMostTimes("choose.4700-upstreams", 10, "choose.47-upstreams");
 		report.atMostTimes("gossip-digest.390-members", 73, "gossip-digest.8-members");
 	}
@@ -227,12 +227,12 @@
 			domains.computeIfAbsent("p" + i % REGIONS, (place) -> new ArrayList<>()).add("d" + i);
 		}
 		domains.forEach((place, names) -> {
-			var list = places.putObject(place).put("region", "r-" + place).putArray("failure-domains");
+			ArrayNode list = places.putObject(place).put("region", "r-" + place).putArray("failure-domains");
 			names.forEach(list::add);
 		});
 		ObjectNode model = document.putObject("services").putObject("llm");
 		model.put("kind", "model").put("layers", 32).put("upstreams-per-range", 12);
-		var ranges = model.putArray("layer-ranges");
+		ArrayNode ranges = model.putArray("layer-ranges");
 		RANGES.forEach((range) -> ranges.add(range.toString()));
 		ObjectNode teamsNode = document.putObject("teams");
 		for (int i = 0; i < teams; i++) {
--- a/whinjunction-bench/src/main/java/io/whinjunction/bench/SpreadBench.java
+++ b/whinjunction-bench/src/main/java/io/whinjunction/bench/SpreadBench.java
@@ -76,8 +76,7 @@
 		long bytes = loopbackBytes();
 		ThroughputBench.pause(this.steadyMs);
 		report.put("gossip-cpu" + suffix, "% of a core each", (cpuNs() - cpuNs) / 1e6 / this.steadyMs / size * 100);
-		// Each byte is counted when sent; headers of TCP and IP included, both
-		// directions.
+		// Both directions, with the headers of TCP and IP.
 		report.put("gossip-traffic" + suffix, "KB/s each",
 				(loopbackBytes() - bytes) / 1024.0 / this.steadyMs * 1000 / size);
 	}
--- a/whinjunction-bench/src/main/java/io/whinjunction/bench/ThroughputBench.java
+++ b/whinjunction-bench/src/main/java/io/whinjunction/bench/ThroughputBench.java
@@ -1,11 +1,13 @@
 package io.whinjunction.bench;
 
 import java.util.Map;
+import java.util.Random;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.LongAdder;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.Supplier;
 
 import io.whinjunction.pipeline.ChoicePolicy;
@@ -82,7 +84,7 @@
 		try (BenchFleet fleet = new BenchFleet(policy, 500, 2)) {
 			double perSecond = 0.9 * fleet.boundPerSecond() / TOKENS;
 			Histogram histogram = new ConcurrentHistogram(3);
-			java.util.Random random = new java.util.Random(3);
+			Random random = new Random(3);
 			AtomicInteger count = new AtomicInteger();
 			AtomicBoolean over = new AtomicBoolean();
 			try (ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor()) {
@@ -91,7 +93,7 @@
 				double nextNs = System.nanoTime();
 				while (System.nanoTime() < endNs) {
 					nextNs += -Math.log(1 - random.nextDouble()) * 1e9 / perSecond;
-					java.util.concurrent.locks.LockSupport.parkNanos((long) nextNs - System.nanoTime());
+					LockSupport.parkNanos((long) nextNs - System.nanoTime());
 					int n = count.getAndIncrement();
 					long sentNs = System.nanoTime();
 					executor.execute(() -> fleet.draft(n, "f" + n, TOKENS, DEADLINE_MS, new FirstTokenSink(over, () -> {
--- a/whinjunction-cli/src/main/java/io/whinjunction/cli/WhinCommand.java
+++ b/whinjunction-cli/src/main/java/io/whinjunction/cli/WhinCommand.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 
 import com.github.rvesse.airline.annotations.Option;
@@ -116,7 +117,7 @@
 		}
 		StringBuilder text = new StringBuilder();
 		for (int i = 0; i < widths.length; i++) {
-			text.append(pad(columns.get(i).toUpperCase(java.util.Locale.ROOT), widths[i]));
+			text.append(pad(columns.get(i).toUpperCase(Locale.ROOT), widths[i]));
 		}
 		text.append('\n');
 		for (Map<String, Object> row : rows) {
--- a/whinjunction-controller/src/main/java/io/whinjunction/controller/Controller.java
+++ b/whinjunction-controller/src/main/java/io/whinjunction/controller/Controller.java
@@ -170,8 +170,7 @@
 
 	private void give(Move move) {
 		Upstream upstream = move.upstream();
-		// Asked at the last moment: the calls before may have taken longer than the
-		// lease.
+		// Asked at the last moment: the calls before may have outlasted the lease.
 		if (!this.lease.holds()) {
 			return;
 		}
--- a/whinjunction-core/src/main/java/io/whinjunction/admission/ConcurrencyLimit.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/admission/ConcurrencyLimit.java
@@ -31,6 +31,8 @@
 
 	private static final double FIRST_GROWTH_PER_TOKEN = 0.05;
 
+	private static final double GROWTH_PER_TOKEN = 0.005;
+
 	/** The limit grows only while it is in use. */
 	private static final double IN_USE_PART = 0.8;
 
@@ -91,7 +93,7 @@
 		else {
 			// Long answers end seldom; a fresh entry would keep most of its first callers
 			// waiting if only their ends let the limit grow.
-			grow(running, this.firstGrowth ? FIRST_GROWTH_PER_TOKEN : 0);
+			grow(running, this.firstGrowth ? FIRST_GROWTH_PER_TOKEN : GROWTH_PER_TOKEN);
 		}
 	}
 
--- a/whinjunction-core/src/main/java/io/whinjunction/configuration/ConfigurationReader.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/configuration/ConfigurationReader.java
@@ -1,5 +1,6 @@
 package io.whinjunction.configuration;
 
+import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -72,7 +73,7 @@
 			String where = (ex.getLocation() != null) ? "line " + ex.getLocation().getLineNr() : "file";
 			problems.add(new Problem(file.toString(), where, "is not TOML: " + ex.getOriginalMessage()));
 		}
-		catch (java.io.IOException ex) {
+		catch (IOException ex) {
 			problems.add(new Problem(file.toString(), "file", "cannot be read: " + ex));
 		}
 		return null;
--- a/whinjunction-core/src/main/java/io/whinjunction/http/Call.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/http/Call.java
@@ -1,5 +1,7 @@
 package io.whinjunction.http;
 
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 
@@ -41,7 +43,7 @@
 	 */
 	public static Call json(String method, String address, String pathAndQuery, String json, long timeoutMs) {
 		return new Call(method, address, pathAndQuery, List.of(Map.entry("content-type", "application/json")),
-				json.getBytes(java.nio.charset.StandardCharsets.UTF_8), timeoutMs, false);
+				json.getBytes(StandardCharsets.UTF_8), timeoutMs, false);
 	}
 
 	/**
@@ -51,7 +53,7 @@
 	 * @return a new call
 	 */
 	public Call with(String name, String value) {
-		List<Map.Entry<String, String>> more = new java.util.ArrayList<>(this.headers);
+		List<Map.Entry<String, String>> more = new ArrayList<>(this.headers);
 		more.add(Map.entry(name, value));
 		return new Call(this.method, this.address, this.pathAndQuery, List.copyOf(more), this.body, this.timeoutMs,
 				this.freshConnection);
--- a/whinjunction-core/src/main/java/io/whinjunction/http/HttpCaller.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/http/HttpCaller.java
@@ -1,5 +1,7 @@
 package io.whinjunction.http;
 
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -102,8 +104,8 @@
 		try {
 			this.client.close();
 		}
-		catch (java.io.IOException ex) {
-			throw new java.io.UncheckedIOException(ex);
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
 		}
 	}
 
--- a/whinjunction-core/src/main/java/io/whinjunction/lease/LeaseKeeper.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/lease/LeaseKeeper.java
@@ -115,8 +115,8 @@
 			this.seenVersion = found.version();
 			this.seenSinceMs = startMs;
 		}
-		// A name alone does not prove it: an earlier life of this process may have held
-		// it.
+		// A name alone does not prove it: an earlier life of this process may have
+		// been the holder.
 		boolean ours = record.holder().equals(this.holder) && record.fencing() == this.fencing && holds();
 		boolean lapsed = startMs - this.seenSinceMs >= this.timeToLiveMs || record.holder().isEmpty();
 		if (ours) {
--- a/whinjunction-core/src/main/java/io/whinjunction/outcome/Refusal.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/outcome/Refusal.java
@@ -1,5 +1,7 @@
 package io.whinjunction.outcome;
 
+import java.util.Locale;
+
 /**
  * Why a request has no answer, for a program and for a person. Immutable.
  *
@@ -83,7 +85,7 @@
 		 * @return lower case with hyphens
 		 */
 		public String wireName() {
-			return name().toLowerCase(java.util.Locale.ROOT).replace('_', '-');
+			return name().toLowerCase(Locale.ROOT).replace('_', '-');
 		}
 
 	}
--- a/whinjunction-core/src/main/java/io/whinjunction/peer/PeerNode.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/peer/PeerNode.java
@@ -2,6 +2,8 @@
 
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -248,7 +250,9 @@
 	}
 
 	private Digest digest() {
-		List<String> leaving = this.upstreams.leavingIds();
+		// By chance, so that all of a whole failure domain's are told in the end.
+		List<String> leaving = new ArrayList<>(this.upstreams.leavingIds());
+		Collections.shuffle(leaving, this.random);
 		return new Digest(PeerMessages.encode(this.members.self()), this.configuration.configuration().revision(),
 				this.freshness.ageMs(this.ticker.nowMs()), PeerMessages.encode(this.members.changes(MOST_CHANGES)),
 				leaving.subList(0, Math.min(MOST_LEAVING, leaving.size())));
--- a/whinjunction-core/src/main/java/io/whinjunction/pipeline/UpstreamTable.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/pipeline/UpstreamTable.java
@@ -4,7 +4,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 
 import io.whinjunction.configuration.LayerRange;
@@ -18,9 +17,13 @@
  */
 public final class UpstreamTable {
 
+	/** A lagging list may show a gone instance again, but not after so many lists. */
+	private static final int FORGET_AFTER_LISTS = 600;
+
 	private final Map<String, UpstreamLoad> loads = new ConcurrentHashMap<>();
 
-	private final Set<String> leaving = ConcurrentHashMap.newKeySet();
+	/** Instances that leave, with for how many lists they have been gone. */
+	private final Map<String, Integer> leaving = new ConcurrentHashMap<>();
 
 	private volatile Snapshot snapshot = new Snapshot(Map.of(), Map.of());
 
@@ -32,10 +35,12 @@
 		Map<String, Upstream> byId = new HashMap<>();
 		for (Upstream upstream : upstreams) {
 			if (upstream.leaving()) {
-				this.leaving.add(upstream.id());
+				this.leaving.put(upstream.id(), 0);
 			}
 			byId.put(upstream.id(), upstream);
 		}
+		this.leaving.replaceAll((id, lists) -> byId.containsKey(id) ? 0 : lists + 1);
+		this.leaving.values().removeIf((lists) -> lists > FORGET_AFTER_LISTS);
 		this.loads.keySet().retainAll(byId.keySet());
 		publish(byId);
 	}
@@ -46,7 +51,7 @@
 	 * @return whether that was news
 	 */
 	public synchronized boolean markLeaving(String id) {
-		boolean news = this.leaving.add(id);
+		boolean news = this.leaving.putIfAbsent(id, 0) == null;
 		if (news) {
 			publish(this.snapshot.byId());
 		}
@@ -58,7 +63,7 @@
 	 * @return their ids
 	 */
 	public List<String> leavingIds() {
-		return List.copyOf(this.leaving);
+		return List.copyOf(this.leaving.keySet());
 	}
 
 	/**
@@ -102,7 +107,7 @@
 		Map<String, Upstream> byId = new HashMap<>();
 		Map<Slot, Map<String, List<Upstream>>> bySlot = new HashMap<>();
 		for (Upstream upstream : upstreams.values()) {
-			Upstream current = this.leaving.contains(upstream.id()) ? upstream.asLeaving() : upstream;
+			Upstream current = this.leaving.containsKey(upstream.id()) ? upstream.asLeaving() : upstream;
 			byId.put(current.id(), current);
 			if (!current.leaving()) {
 				bySlot.computeIfAbsent(new Slot(current.service(), current.range()), (slot) -> new HashMap<>())
--- a/whinjunction-core/src/main/java/io/whinjunction/session/DraftSession.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/session/DraftSession.java
@@ -131,8 +131,7 @@
 		Choice choice = this.chooser.pipeline(this.request.model(), this.placement, this.avoided);
 		if (choice instanceof Choice.NoneAlive && !this.avoided.isEmpty()
 				&& this.rounds++ < this.request.model().ranges().size()) {
-			// Every holder has failed this draft once; a stall that hit them all may be
-			// over.
+			// Every holder has failed this draft; a stall of them all may be over.
 			this.avoided.clear();
 			return choose();
 		}
@@ -195,7 +194,11 @@
 		if (now == this.placement) {
 			return true;
 		}
-		return now != null && pipeline.stages().stream().allMatch((stage) -> now.permits(stage.failureDomain()));
+		if (now == null || !pipeline.stages().stream().allMatch((stage) -> now.permits(stage.failureDomain()))) {
+			return false;
+		}
+		this.placement = now;
+		return true;
 	}
 
 	private String token(Pipeline pipeline, List<HopRecorder> recorders, int position, List<String> inputs) {
@@ -236,10 +239,9 @@
 			case StepResult.Failed failed -> {
 				this.touched.add(stage);
 				if (failed.silent() && late()) {
-					// The draft's own deadline ended the step before the engine's time
-					// was
-					// up. Held against the engine, late drafts would take healthy engines
-					// out of service just when there is too much work.
+					// The draft's own deadline came before the engine's time was up.
+					// Held against the engine, late drafts would take healthy ones out
+					// of service just when there is too much work.
 					recorder.failed(tookMs, "the deadline came first");
 				}
 				else {
--- a/whinjunction-core/src/test/java/io/whinjunction/admission/AdmissionQueueTests.java
+++ b/whinjunction-core/src/test/java/io/whinjunction/admission/AdmissionQueueTests.java
@@ -85,6 +85,20 @@
 		assertThat(queue.running()).isEqualTo(40);
 	}
 
+	// Regression: the drafts' pace was a little above calm from the start, so the first
+	// growth ended at once and nine of forty long drafts waited in vain.
+	@Test
+	void aLimitGrowsWhileLongAnswersRunAtAFairPaceToo() {
+		AdmissionQueue queue = new AdmissionQueue(ConcurrencyLimit.learned(256), 256);
+		for (int i = 0; i < 40; i++) {
+			queue.enter("a", 1, 60_000);
+		}
+		for (int token = 0; token < 10_000; token++) {
+			queue.paced(token, 20_000, 60_000);
+		}
+		assertThat(queue.running()).isEqualTo(40);
+	}
+
 	// A tenth of the engines degrades or a link slows: what was the right limit is too
 	// much.
 	// Answers must be in time again before long, not late for as long as it lasts.
--- a/whinjunction-core/src/test/java/io/whinjunction/peer/PeerNodeTests.java
+++ b/whinjunction-core/src/test/java/io/whinjunction/peer/PeerNodeTests.java
@@ -1,7 +1,9 @@
 package io.whinjunction.peer;
 
+import java.util.HashSet;
 import java.util.List;
 import java.util.Random;
+import java.util.Set;
 
 import io.whinjunction.configuration.ConfigurationHolder;
 import io.whinjunction.configuration.Freshness;
@@ -49,6 +51,11 @@
 			this.members.merge(List.of(new Member("m" + i, "h:1", "d", 1, Member.Status.ALIVE)), 0);
 		}
 		Digest answer = this.node.exchange(digest(List.of()));
+		Set<String> told = new HashSet<>(answer.getLeavingUpstreams());
+		for (int i = 0; i < 50; i++) {
+			told.addAll(this.node.exchange(digest(List.of())).getLeavingUpstreams());
+		}
+		assertThat(told).hasSize(200);
 		assertThat(answer.getLeavingUpstreamsSize()).isEqualTo(64);
 		assertThat(answer.getChangesSize()).isEqualTo(16);
 		assertThat(answer.getConfirmationAgeMs()).isEqualTo(-1);
--- a/whinjunction-core/src/test/java/io/whinjunction/pipeline/UpstreamTableTests.java
+++ b/whinjunction-core/src/test/java/io/whinjunction/pipeline/UpstreamTableTests.java
@@ -27,6 +27,20 @@
 		assertThat(this.table.leavingIds()).containsExactly("a");
 	}
 
+	// Hundreds of instances are replaced a day. Names of the gone ones must not fill the
+	// table and the digests for good, nor be forgotten while a lagging list may show
+	// them.
+	@Test
+	void aLeavingUpstreamThatIsGoneIsForgottenInTheEnd() {
+		this.table.replace(List.of(upstream("a", true)));
+		for (int i = 0; i < 600; i++) {
+			this.table.replace(List.of());
+		}
+		assertThat(this.table.leavingIds()).containsExactly("a");
+		this.table.replace(List.of());
+		assertThat(this.table.leavingIds()).isEmpty();
+	}
+
 	@Test
 	void theFirstSourceThatSaysLeavingCounts() {
 		this.table.replace(List.of(upstream("a", true), upstream("b", false)));
--- a/whinjunction-entry/src/main/java/io/whinjunction/entry/OperatorHandler.java
+++ b/whinjunction-entry/src/main/java/io/whinjunction/entry/OperatorHandler.java
@@ -1,6 +1,7 @@
 package io.whinjunction.entry;
 
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 
 import io.whinjunction.configuration.ConfigurationHolder;
@@ -109,7 +110,7 @@
 			ObjectNode one = members.addObject();
 			one.put("id", member.id());
 			one.put("failure_domain", member.failureDomain());
-			one.put("status", member.status().name().toLowerCase(java.util.Locale.ROOT));
+			one.put("status", member.status().name().toLowerCase(Locale.ROOT));
 		}
 		return node;
 	}
--- a/whinjunction-entry/src/main/java/io/whinjunction/entry/ServiceHandler.java
+++ b/whinjunction-entry/src/main/java/io/whinjunction/entry/ServiceHandler.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -249,7 +250,7 @@
 
 	private static List<Map.Entry<String, String>> passed(List<Map.Entry<String, String>> headers) {
 		return headers.stream()
-			.filter((header) -> !NOT_PASSED.contains(header.getKey().toLowerCase(java.util.Locale.ROOT)))
+			.filter((header) -> !NOT_PASSED.contains(header.getKey().toLowerCase(Locale.ROOT)))
 			.toList();
 	}
 
--- a/whinjunction-standins/src/main/java/io/whinjunction/standins/BookingServer.java
+++ b/whinjunction-standins/src/main/java/io/whinjunction/standins/BookingServer.java
@@ -1,5 +1,6 @@
 package io.whinjunction.standins;
 
+import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -44,7 +45,7 @@
 	public void handle(Exchange exchange) throws Exception {
 		Request request = exchange.request();
 		if (request.path().startsWith("/faults/")) {
-			nextFault(Fault.valueOf(request.path().substring(8).toUpperCase(java.util.Locale.ROOT).replace('-', '_')));
+			nextFault(Fault.valueOf(request.path().substring(8).toUpperCase(Locale.ROOT).replace('-', '_')));
 			exchange.reply(Reply.json(200, "{}"));
 		}
 		else if (request.method().equals("POST") && request.path().equals("/bookings")) {
