--- a/whinjunction-core/src/main/java/io/whinjunction/peer/PeerNode.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/peer/PeerNode.java
@@ -117,6 +117,10 @@
 	 */
 	public void renewLoans() {
 		List<Member> alive = this.members.alive();
+		if (alive.isEmpty()) {
+			// This entry leaves and knows no other.
+			return;
+		}
 		Map<String, Map<String, Double>> demandByOwner = new HashMap<>();
 		Map<String, Member> owners = new HashMap<>();
 		for (Team team : this.configuration.configuration().teams().values()) {
@@ -174,7 +178,7 @@
 		Map<String, Double> shares = new HashMap<>();
 		demand.getDemandPerSecond().forEach((name, wanted) -> {
 			Team team = this.configuration.configuration().teams().get(name);
-			if (team != null && ownerOf(name, alive).id().equals(this.members.self().id())) {
+			if (team != null && !alive.isEmpty() && ownerOf(name, alive).id().equals(this.members.self().id())) {
 				shares.put(name,
 						this.owner.lend(name, team.ratePerSecond(), demand.getMember(), wanted, this.ticker.nowMs()));
 			}
--- a/whinjunction-core/src/test/java/io/whinjunction/peer/PeerNodeTests.java
+++ b/whinjunction-core/src/test/java/io/whinjunction/peer/PeerNodeTests.java
@@ -7,6 +7,8 @@
 
 import io.whinjunction.configuration.ConfigurationHolder;
 import io.whinjunction.configuration.Freshness;
+import io.whinjunction.configuration.Json;
+import io.whinjunction.configuration.Manifest;
 import io.whinjunction.limit.TeamLimits;
 import io.whinjunction.membership.Member;
 import io.whinjunction.membership.MembershipTable;
@@ -20,6 +22,7 @@
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatNoException;
 
 /**
  * Tests for {@link PeerNode}.
@@ -31,7 +34,9 @@
 	private final MembershipTable members = new MembershipTable(
 			new Member("a", "127.0.0.1:1", "poa-a", 1, Member.Status.ALIVE), 3000);
 
-	private final PeerNode node = new PeerNode(new PeerNode.NodeState(this.members, new ConfigurationHolder(),
+	private final ConfigurationHolder configuration = new ConfigurationHolder();
+
+	private final PeerNode node = new PeerNode(new PeerNode.NodeState(this.members, this.configuration,
 			new Freshness(8000), this.upstreams, new TeamLimits()), new PeerTransport(null, 100), Ticker.system(),
 			new Random(1));
 
@@ -61,6 +66,17 @@
 		assertThat(answer.getConfirmationAgeMs()).isEqualTo(-1);
 	}
 
+	// Regression: the last entry of a fleet leaves. Nobody is left to own a team's limit;
+	// the loop that renews loans failed without a pause and filled the log.
+	@Test
+	void anEntryThatLeavesAloneRenewsNoLoans() {
+		this.configuration.offer(new Manifest(1, Json.MAPPER.readTree("""
+				{"places": {"p": {"region": "r", "failure-domains": ["d"]}},
+				"teams": {"t": {"key-sha256": [], "services": [], "places": ["p"]}}}"""), "n"));
+		this.members.leave(1);
+		assertThatNoException().isThrownBy(this.node::renewLoans);
+	}
+
 	private static Digest digest(List<String> leaving) {
 		return new Digest(new MemberRecord("p", "127.0.0.1:2", "poa-b", 1, MemberStatus.ALIVE), 0, -1, List.of(),
 				leaving);
--- a/whinjunction-entry/src/main/java/io/whinjunction/entry/Entry.java
+++ b/whinjunction-entry/src/main/java/io/whinjunction/entry/Entry.java
@@ -189,19 +189,25 @@
 		Thread.ofVirtual().name("whin-" + name).start(() -> {
 			while (!this.closed) {
 				try {
-					boolean well = step.getAsBoolean();
-					this.ticker.sleepMs(well ? periodMs : Math.max(PAUSE_MS, periodMs));
+					this.ticker.sleepMs(well(name, step) ? periodMs : Math.max(PAUSE_MS, periodMs));
 				}
 				catch (InterruptedException ex) {
 					return;
 				}
-				catch (RuntimeException ex) {
-					logger.atSevere().withCause(ex).log("the %s loop failed and goes on", name);
-				}
 			}
 		});
 	}
 
+	private static boolean well(String name, BooleanSupplier step) {
+		try {
+			return step.getAsBoolean();
+		}
+		catch (RuntimeException ex) {
+			logger.atSevere().withCause(ex).log("the %s loop failed and goes on", name);
+			return false;
+		}
+	}
+
 	private TlsFiles tls(EntrySettings settings) throws SSLException {
 		EntrySettings.Tls files = settings.tls();
 		if (files == null) {
