First placement waits until the list of engines has settled; watches are gathered

Cause: engines come within two seconds of each other, and the plan made for the first six of them gave one engine half of the model; the others stayed empty.

--- a/whinjunction-router/src/main/java/io/whinjunction/router/DirectoryKeeper.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/DirectoryKeeper.java
@@ -22,6 +22,14 @@
 	 */
 	private static final long WATCH_MS = 15_000;
 
+	/**
+	 * The pause between a change and the next watch, in milliseconds. A watch ends with
+	 * its first change, and in a burst each would be a call of its own: 70 at a start
+	 * with 40 upstreams, against 12 with the pause. A tenth of what a leaving upstream
+	 * may take to be noticed.
+	 */
+	private static final long GATHER_MS = 200;
+
 	/** The pause after a call that failed, in milliseconds. */
 	private static final long RETRY_MS = 250;
 
@@ -102,7 +110,7 @@
 								found.value().changed().size(), found.value().removed(), this.revision);
 					this.changed.run();
 				}
-				watch();
+				this.loop.schedule(this::watch, GATHER_MS, TimeUnit.MILLISECONDS);
 			}
 			case StoreReply.Outdated<UpstreamChanges> ignored -> {
 				logger.atWarning().log("event=watch-outdated revision=%d", this.revision);
--- a/whinjunction-router/src/main/java/io/whinjunction/router/LayerKeeper.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/LayerKeeper.java
@@ -2,9 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 import com.google.common.flogger.FluentLogger;
@@ -35,6 +37,14 @@
 	/** What an order may take beyond its load time, in milliseconds. */
 	private static final long ORDER_SLACK_MS = 2000;
 
+	/**
+	 * How long no engine must have come before an empty failure domain is planned, in
+	 * milliseconds. Engines come within about two seconds of each other; a plan for the
+	 * first few of them gave one engine half of the model, and 45 in 100 requests were
+	 * served.
+	 */
+	private static final long SETTLE_MS = 1500;
+
 	private final EventLoop loop;
 
 	private final RouterContext router;
@@ -45,6 +55,8 @@
 
 	private final Map<String, Ordered> ordered = new HashMap<>();
 
+	private final Map<String, Settling> settling = new HashMap<>();
+
 	private boolean stopped;
 
 	LayerKeeper(RouterContext router, EngineControl engines, Leadership leadership) {
@@ -85,11 +97,38 @@
 				state.add(engine(upstream.upstream(), kind));
 			}
 		}
+		Set<String> unsettled = unsettled(service.name(), state);
 		for (Placement placement : LayerPlanner.plan(profile, state)) {
-			order(profile, placement);
+			if (!unsettled.contains(placement.engine().failureDomain())) {
+				order(profile, placement);
+			}
 		}
 	}
 
+	private Set<String> unsettled(String service, List<Engine> engines) {
+		Map<String, Integer> counts = new HashMap<>();
+		Set<String> holding = new HashSet<>();
+		for (Engine engine : engines) {
+			counts.merge(engine.failureDomain(), 1, Integer::sum);
+			if (engine.held() != null) {
+				holding.add(engine.failureDomain());
+			}
+		}
+		Set<String> unsettled = new HashSet<>();
+		counts.forEach((domain, count) -> {
+			Settling before = this.settling.get(service + "/" + domain);
+			long nowMs = this.router.nowMs();
+			if (before == null || count > before.engines()) {
+				this.settling.put(service + "/" + domain, new Settling(count, nowMs));
+			}
+			boolean fresh = before == null || count > before.engines() || nowMs - before.sinceMs() < SETTLE_MS;
+			if (fresh && !holding.contains(domain)) {
+				unsettled.add(domain);
+			}
+		});
+		return unsettled;
+	}
+
 	private Engine engine(Upstream upstream, EngineKind kind) {
 		Ordered order = this.ordered.get(upstream.id());
 		LayerRange held = (order != null) ? order.layers() : upstream.held();
@@ -147,4 +186,13 @@
 	private record Ordered(LayerRange layers, long sinceMs) {
 	}
 
+	/**
+	 * How many engines a failure domain has had at most.
+	 *
+	 * @param engines how many
+	 * @param sinceMs since when
+	 */
+	private record Settling(int engines, long sinceMs) {
+	}
+
 }
