--- a/whinjunction-router/src/main/java/io/whinjunction/router/Router.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/Router.java
@@ -89,6 +89,8 @@
 
 	private final Closer closer = new Closer();
 
+	private volatile Channel callerListener;
+
 	private boolean stopping;
 
 	/**
@@ -130,7 +132,7 @@
 		if (this.settings.metrics() != null) {
 			listen(this.settings.metrics(), (channel) -> channel.pipeline().addLast(new HttpServerCodec(), ready));
 		}
-		listen(this.settings.callers(), this::initializeCaller);
+		this.callerListener = listen(this.settings.callers(), this::initializeCaller);
 		logger.atInfo()
 			.log("event=started name=%s domain=%s callers=%s", this.settings.name(), this.settings.failureDomain(),
 					this.settings.callers());
@@ -143,7 +145,7 @@
 			.addLast(new StrictRequestDecoder(config), new HttpResponseEncoder(), new CallerConnection(this));
 	}
 
-	private void listen(InetSocketAddress address, Consumer<SocketChannel> initializer) {
+	private Channel listen(InetSocketAddress address, Consumer<SocketChannel> initializer) {
 		ChannelHandler children = new ChannelInitializer<SocketChannel>() {
 
 			@Override
@@ -162,7 +164,8 @@
 			.bind(address)
 			.syncUninterruptibly()
 			.channel();
-		this.closer.register(() -> listener.close().awaitUninterruptibly());
+		this.closer.register(listener::close);
+		return listener;
 	}
 
 	/**
@@ -178,7 +181,7 @@
 			this.stopping = true;
 			logger.atInfo().log("event=stopping callers=%d", this.callers.size());
 			this.leadership.stop();
-			new StopSequence(this, this.settings.bounds().graceMs(), stopped).start();
+			new StopSequence(this, this.settings.bounds().graceMs(), this.callerListener::close, stopped).start();
 		});
 	}
 
