Peers by datagrams, silent engines noticed by stalled streams, repair before the list shows the loss

Routers now ask the engines of a stalled stream's path, tell each other suspects, proofs and tokens by engine (Thrift in datagrams), and the lease holder repairs a suspect at once.

--- a/whinjunction-core/src/main/java/io/whinjunction/forward/RetryPolicy.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/forward/RetryPolicy.java
@@ -1,5 +1,6 @@
 package io.whinjunction.forward;
 
+import io.whinjunction.routing.RequestKind;
 import io.whinjunction.routing.Route;
 
 /**
@@ -7,7 +8,8 @@
  * <p>
  * Invariants: a request that may have run is only repeated where its route allows it; a
  * refusal is only chosen where no upstream can have run the request, in this attempt or
- * an earlier one; no request is sent to more upstreams than its route allows. Stateless.
+ * an earlier one; no request is sent to more upstreams than its route allows, for which
+ * {@link #onlyTriedOnes} tells the chooser when to stay with those. Stateless.
  */
 public final class RetryPolicy {
 
@@ -23,6 +25,13 @@
 	 */
 	private static final int MOST_NOT_SENT = 4;
 
+	/**
+	 * A route bounds the upstreams that a request may reach, not the sends. Where all of
+	 * them answered that they failed, one of them is asked once more: with one failure in
+	 * seven by chance, two attempts leave 20 in 1000 requests failed and three leave 3.
+	 */
+	private static final int MORE_AFTER_FAILURE = 1;
+
 	private RetryPolicy() {
 	}
 
@@ -46,11 +55,28 @@
 		return mayHaveRun ? new NextStep.Fail() : new NextStep.Refuse();
 	}
 
+	/**
+	 * Whether the next attempt has to go to an upstream that was tried before.
+	 * @param route the request's route
+	 * @param sent how often it was sent
+	 * @return {@code true} where the route allows no further upstream
+	 */
+	public static boolean onlyTriedOnes(Route route, int sent) {
+		return sent >= route.limits().maxAttempts();
+	}
+
 	private static boolean countsAllow(Route route, AttemptEnd end, History history) {
-		if (end instanceof AttemptEnd.NotSent) {
-			return history.notSent() < MOST_NOT_SENT;
-		}
-		return history.sent() < route.limits().maxAttempts();
+		return switch (end) {
+			case AttemptEnd.NotSent ignored -> history.notSent() < MOST_NOT_SENT;
+			case AttemptEnd.Failed ignored -> history.sent() < mostAfterFailure(route);
+			case AttemptEnd.NotRun ignored -> history.sent() < route.limits().maxAttempts();
+			case AttemptEnd.Unknown ignored -> history.sent() < route.limits().maxAttempts();
+		};
+	}
+
+	private static int mostAfterFailure(Route route) {
+		int more = (route.kind() == RequestKind.IDEMPOTENT) ? MORE_AFTER_FAILURE : 0;
+		return route.limits().maxAttempts() + more;
 	}
 
 	private static boolean granted(AttemptEnd end, History history, Budget budget) {
--- /dev/null
+++ b/whinjunction-protocol/src/main/thrift/router.thrift
@@ -0,0 +1,25 @@
+/* Messages between routers, one to a datagram. Generate with whinjunction-protocol/generate. */
+namespace java io.whinjunction.protocol.generated
+
+/* What one router tells another; a question is answered by the same. */
+struct RouterStatus {
+  1: required string name
+  /* IP:PORT that it takes these messages at. */
+  2: required string address
+  3: required string failureDomain
+  /* Of the question; the answer repeats it. */
+  4: required i64 sequence
+  5: required bool answer
+  /* The configuration in force. */
+  6: required i64 version
+  /* Age of the newest proof that this version is the platform's, when this was written; -1: none. */
+  7: required i64 proofAgeMs
+  /* Addresses of engines that don't answer. */
+  8: required list<string> suspects
+  /* Tokens of its requests in progress, by the engine's name; the busiest engines. */
+  9: required map<string, i64> tokensByEngine
+  /* Addresses of other routers that it has heard of lately. */
+  10: required list<string> routers
+  /* It is about to stop. */
+  11: required bool leaving
+}
--- a/whinjunction-router/src/main/java/io/whinjunction/router/Attempt.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/Attempt.java
@@ -46,7 +46,9 @@
 
 	private boolean streaming;
 
-	private boolean headersOnly;
+	private boolean begun;
+
+	private long progressAtMs;
 
 	Attempt(ForwardSession session, Target target) {
 		this.session = session;
@@ -103,6 +105,10 @@
 
 	private void send() {
 		this.sent = true;
+		this.progressAtMs = this.session.router().nowMs();
+		if (!this.target.path().isEmpty()) {
+			this.session.router().watch().add(this);
+		}
 		this.session.countSent();
 		CallerRequest request = this.session.request();
 		this.connection.begin(request.id(), this);
@@ -180,11 +186,34 @@
 		}
 	}
 
+	/**
+	 * Whether an event has come.
+	 * @return {@code false} while the prompt is read
+	 */
+	boolean begun() {
+		return this.begun;
+	}
+
+	/**
+	 * When the last event came, or the request was sent.
+	 * @return the time in milliseconds
+	 */
+	long progressAtMs() {
+		return this.progressAtMs;
+	}
+
+	/**
+	 * It waits for an engine that doesn't answer.
+	 * @param address the engine
+	 */
+	void stalled(String address) {
+		this.session.onStalled(address);
+	}
+
 	/** Gives the attempt up; the upstream is told by the end of its connection. */
 	void abandon() {
 		if (!this.ended) {
-			this.ended = true;
-			count(false);
+			settle();
 			if (this.connection != null) {
 				this.connection.abandon();
 			}
@@ -207,8 +236,6 @@
 		HttpHeaders headers = HopHeaders.withoutThem(response.headers());
 		boolean stream = this.session.route().kind() == RequestKind.STREAMING && received.success();
 		this.streaming = stream && received.genuine();
-		this.headersOnly = response.status().equals(HttpResponseStatus.NO_CONTENT)
-				|| response.status().equals(HttpResponseStatus.NOT_MODIFIED);
 		this.answer = new Answer(response.status(), headers, Unpooled.buffer(0));
 	}
 
@@ -229,6 +256,8 @@
 		}
 		ByteBuf whole = this.session.events().take(content);
 		if (whole != null) {
+			this.begun = true;
+			this.progressAtMs = this.session.router().nowMs();
 			this.session.onEvents(this.answer, whole);
 		}
 	}
@@ -318,6 +347,7 @@
 
 	private void settle() {
 		this.ended = true;
+		this.session.router().watch().remove(this);
 		count(false);
 	}
 
--- a/whinjunction-router/src/main/java/io/whinjunction/router/ConfigurationKeeper.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/ConfigurationKeeper.java
@@ -1,9 +1,11 @@
 package io.whinjunction.router;
 
 import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
 
 import com.google.common.flogger.FluentLogger;
 import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.ScheduledFuture;
 import io.whinjunction.proof.ConfigurationProof;
 import io.whinjunction.routing.RoutingConfiguration;
 import io.whinjunction.time.BootClock;
@@ -11,8 +13,10 @@
 /**
  * Keeps the newest configuration in force and proves that it is the newest.
  * <p>
- * One linearizable read does both. It is repeated every {@link #PERIOD_MS}, which is half
- * of the time within which an accepted configuration has to be in force.
+ * One linearizable read does both. It is repeated where no other router has proved the
+ * same version for {@link #PERIOD_MS}, which is half of the time within which an accepted
+ * configuration has to be in force; so the fleet reads about once a period, not each
+ * router.
  * <p>
  * Invariant: the version in force never goes down. Confined to the event loop.
  */
@@ -23,6 +27,9 @@
 	/** The pause between reads that succeed, in milliseconds. */
 	private static final long PERIOD_MS = 1000;
 
+	/** What is added to the pause by chance, in milliseconds. */
+	private static final long SPREAD_MS = 250;
+
 	/** The pause after a read that failed, in milliseconds: a few calls a second. */
 	private static final long RETRY_MS = 250;
 
@@ -34,10 +41,16 @@
 
 	private final BootClock boot;
 
+	private final RandomGenerator random = RandomGenerator.getDefault();
+
 	private RoutingConfiguration configuration;
 
 	private boolean inTouch = true;
 
+	private ScheduledFuture<?> next;
+
+	private boolean reading;
+
 	private boolean stopped;
 
 	ConfigurationKeeper(EventLoop loop, FleetStore store, ConfigurationProof proof, BootClock boot) {
@@ -55,19 +68,38 @@
 		read();
 	}
 
+	/**
+	 * Hears of a version from another router.
+	 * @param version the version in force there
+	 * @param provedAtMs when it was proved to be the newest, on the clock of proofs
+	 */
+	void heard(long version, long provedAtMs) {
+		if (this.configuration == null) {
+			return;
+		}
+		if (version == this.configuration.version()) {
+			this.proof.proved(provedAtMs);
+		}
+		else if (version > this.configuration.version() && !this.reading) {
+			read();
+		}
+	}
+
 	void stop() {
 		this.stopped = true;
 	}
 
 	private void read() {
-		if (this.stopped) {
+		if (this.stopped || this.reading) {
 			return;
 		}
+		this.reading = true;
 		long askedAtMs = this.boot.nowMs();
 		this.store.readConfiguration((reply) -> take(reply, askedAtMs));
 	}
 
 	private void take(StoreReply<RoutingConfiguration> reply, long askedAtMs) {
+		this.reading = false;
 		long pauseMs = RETRY_MS;
 		if (reply instanceof StoreReply.Found<RoutingConfiguration> found) {
 			offer(found.value(), askedAtMs);
@@ -76,7 +108,22 @@
 		else {
 			noteTouch(false, reply.toString());
 		}
-		this.loop.schedule(this::read, pauseMs, TimeUnit.MILLISECONDS);
+		if (this.next != null) {
+			this.next.cancel(false);
+		}
+		this.next = this.loop.schedule(this::readUnlessProved, pauseMs, TimeUnit.MILLISECONDS);
+	}
+
+	private void readUnlessProved() {
+		long ageMs = this.proof.ageMs(this.boot.nowMs());
+		if (ageMs < PERIOD_MS) {
+			// Another router has read meanwhile; the pause goes on from there, and a part
+			// by chance keeps routers from reading together.
+			long pauseMs = PERIOD_MS - ageMs + this.random.nextLong(SPREAD_MS);
+			this.next = this.loop.schedule(this::readUnlessProved, pauseMs, TimeUnit.MILLISECONDS);
+			return;
+		}
+		read();
 	}
 
 	private void offer(RoutingConfiguration read, long askedAtMs) {
--- a/whinjunction-router/src/main/java/io/whinjunction/router/EngineControl.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/EngineControl.java
@@ -16,9 +16,10 @@
 	/**
 	 * Asks an engine for its state.
 	 * @param address the engine
+	 * @param limitMs how long the answer may take, in milliseconds
 	 * @param done takes the report, or empty where none came
 	 */
-	void report(String address, Consumer<Optional<EngineReport>> done);
+	void report(String address, long limitMs, Consumer<Optional<EngineReport>> done);
 
 	/**
 	 * Orders an engine to hold layers.
--- a/whinjunction-router/src/main/java/io/whinjunction/router/FleetStore.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/FleetStore.java
@@ -1,5 +1,6 @@
 package io.whinjunction.router;
 
+import java.util.List;
 import java.util.function.Consumer;
 
 import io.whinjunction.routing.RoutingConfiguration;
@@ -30,6 +31,14 @@
 	 */
 	void watchUpstreams(long afterRevision, long waitMs, Consumer<StoreReply<UpstreamChanges>> done);
 
+	/**
+	 * Says where this router takes messages of others, and hears where they do.
+	 * @param name this router
+	 * @param address {@code IP:PORT}
+	 * @param done takes the addresses of all routers that ever said so
+	 */
+	void announce(String name, String address, Consumer<StoreReply<List<String>>> done);
+
 	/**
 	 * Reads the lease.
 	 * @param stale whether a reading that is seconds old will do, which is cheaper
--- a/whinjunction-router/src/main/java/io/whinjunction/router/ForwardSession.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/ForwardSession.java
@@ -13,6 +13,7 @@
 import io.whinjunction.forward.AttemptEnd;
 import io.whinjunction.forward.NextStep;
 import io.whinjunction.forward.RetryPolicy;
+import io.whinjunction.routing.RequestKind;
 import io.whinjunction.routing.Route;
 import io.whinjunction.routing.RoutedService;
 import io.whinjunction.routing.RoutedTeam;
@@ -238,8 +239,7 @@
 	}
 
 	private void tryNext() {
-		Optional<Target> target = this.router.chooser()
-			.choose(this.service, this.request.tokens(), this.tried, this.router.fleet(), this.router.nowMs());
+		Optional<Target> target = chooseTarget();
 		if (target.isEmpty()) {
 			giveUp(this.mayHaveRun ? new NextStep.Fail() : new NextStep.Refuse(), "no-upstream");
 			return;
@@ -248,6 +248,13 @@
 		this.attempt.start();
 	}
 
+	private Optional<Target> chooseTarget() {
+		if (!this.service.chained() && RetryPolicy.onlyTriedOnes(this.route, this.sent)) {
+			return this.router.chooser().chooseAgain(this.tried);
+		}
+		return this.router.chooser().choose(this.service, this.request.tokens(), this.tried, this.router.nowMs());
+	}
+
 	/**
 	 * An attempt ended without an answer for the caller.
 	 * @param end how
@@ -264,7 +271,8 @@
 		RetryPolicy.History history = new RetryPolicy.History(this.sent, this.notSent, this.mayHaveRun);
 		NextStep next = RetryPolicy.next(this.route, end, history, leftMs(), this::repeatGranted);
 		this.mayHaveRun |= end instanceof AttemptEnd.Unknown || end instanceof AttemptEnd.Failed;
-		boolean replayable = !this.passingThrough;
+		// What was passed on of an answer without events can't be taken back.
+		boolean replayable = !this.passingThrough && (!this.answerBegun || this.route.kind() == RequestKind.STREAMING);
 		if (next instanceof NextStep.TryAgain && replayable) {
 			tryNext();
 			return;
@@ -272,8 +280,21 @@
 		giveUp(this.mayHaveRun ? new NextStep.Fail() : new NextStep.Refuse(), end.reason());
 	}
 
+	/**
+	 * The attempt waits for an engine that doesn't answer.
+	 * @param address the engine
+	 */
+	void onStalled(String address) {
+		Attempt stalled = this.attempt;
+		if (stalled != null && !this.done) {
+			stalled.abandon();
+			onAttemptEnd(new AttemptEnd.Unknown("stalled"), address);
+		}
+	}
+
 	private boolean repeatGranted() {
-		return this.router.budget(this.service.name()).tryRepeat(this.router.nowMs(), this.router.fleet().routers());
+		return this.router.budget(this.service.name())
+			.tryRepeat(this.router.nowMs(), this.router.peers().sharers(this.router.nowMs()));
 	}
 
 	private void avoid(Attempt ended, AttemptEnd end, String faultyAddress) {
@@ -282,7 +303,7 @@
 		if (faulty != null) {
 			faulty.avoidUntil(untilMs);
 			this.tried.add(faulty.upstream().id());
-			this.router.suspect(faultyAddress);
+			this.router.watch().hearsay(faultyAddress);
 			return;
 		}
 		Upstream first = ended.target().first();
--- a/whinjunction-router/src/main/java/io/whinjunction/router/LayerKeeper.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/LayerKeeper.java
@@ -45,6 +45,9 @@
 	 */
 	private static final long SETTLE_MS = 1500;
 
+	/** How long an engine may take to say how it is before an order, in milliseconds. */
+	private static final long REPORT_MS = 600;
+
 	private final EventLoop loop;
 
 	private final RouterContext router;
@@ -93,7 +96,7 @@
 		List<Engine> state = new ArrayList<>();
 		for (UpstreamState upstream : this.router.directory().staying(service.name())) {
 			EngineKind kind = profile.kinds().get(upstream.upstream().kind());
-			if (kind != null) {
+			if (kind != null && !this.router.watch().lost(upstream.upstream().id())) {
 				state.add(engine(upstream.upstream(), kind));
 			}
 		}
@@ -153,7 +156,7 @@
 	private void order(ModelProfile profile, Placement placement) {
 		Engine engine = placement.engine();
 		this.ordered.put(engine.id(), new Ordered(placement.layers(), this.router.nowMs()));
-		this.engines.report(engine.address(), (report) -> place(engine, placement.layers(), report));
+		this.engines.report(engine.address(), REPORT_MS, (report) -> place(engine, placement.layers(), report));
 	}
 
 	private void place(Engine engine, LayerRange layers, Optional<EngineReport> report) {
--- /dev/null
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/PeerTable.java
@@ -0,0 +1,198 @@
+package io.whinjunction.router;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+
+/**
+ * The other routers: who is there, what they said last, and whom to ask next.
+ * <p>
+ * The failures it is there for: a router that is cut off from the store can still prove
+ * its configuration through another one; routers that count only their own requests
+ * overfill an engine that they share; and each of them finds a dead engine anew. Its
+ * proof is safe by order alone, without common clocks: the other one wrote its answer
+ * after it was asked, so a proof that was {@code age} old then is at most that much older
+ * than the question.
+ * <p>
+ * Not safe for threads: confined to the event loop.
+ */
+final class PeerTable {
+
+	/** A router that was not heard for this long is taken for gone, in milliseconds. */
+	static final long SILENT_MS = 1500;
+
+	/** Routers are remembered this long for shares that must not grow by a cut. */
+	private static final long REMEMBERED_MS = 60_000;
+
+	/** Bounds a message whatever the fleet's size. */
+	private static final int MOST_ROUTERS_TOLD = 8;
+
+	private final String self;
+
+	private final RandomGenerator random;
+
+	private final Map<String, Peer> byAddress = new HashMap<>();
+
+	private final Map<Long, Long> askedAtMs = new HashMap<>();
+
+	private long sequence;
+
+	/**
+	 * A table.
+	 * @param self this router's own address, which is never asked
+	 * @param random the source of chance
+	 */
+	PeerTable(String self, RandomGenerator random) {
+		this.self = self;
+		this.random = random;
+	}
+
+	/**
+	 * Hears of addresses.
+	 * @param addresses where routers may be
+	 */
+	void addresses(List<String> addresses) {
+		for (String address : addresses) {
+			if (!address.equals(this.self)) {
+				this.byAddress.computeIfAbsent(address, (ignored) -> new Peer());
+			}
+		}
+	}
+
+	/**
+	 * Begins a question.
+	 * @param bootMs the time, on the clock of proofs
+	 * @return the question's number
+	 */
+	long ask(long bootMs) {
+		this.sequence++;
+		this.askedAtMs.put(this.sequence, bootMs);
+		this.askedAtMs.values().removeIf((askedMs) -> bootMs - askedMs > REMEMBERED_MS);
+		return this.sequence;
+	}
+
+	/**
+	 * Takes what another router said.
+	 * @param status what it said
+	 * @param nowMs the time
+	 */
+	void heard(PeerStatus status, long nowMs) {
+		if (status.address().equals(this.self)) {
+			return;
+		}
+		Peer peer = this.byAddress.computeIfAbsent(status.address(), (ignored) -> new Peer());
+		peer.status = status;
+		peer.heardAtMs = nowMs;
+		addresses(status.routers());
+	}
+
+	/**
+	 * When the proof in an answer holds.
+	 * @param status the answer
+	 * @return the time on the clock of proofs, or {@link Long#MIN_VALUE} where it proves
+	 * nothing
+	 */
+	long provedAtMs(PeerStatus status) {
+		Long askedMs = status.answer() ? this.askedAtMs.get(status.sequence()) : null;
+		return (askedMs == null || status.proofAgeMs() < 0) ? Long.MIN_VALUE : askedMs - status.proofAgeMs();
+	}
+
+	/**
+	 * Chooses whom to ask.
+	 * @param most how many at most
+	 * @param nowMs the time
+	 * @return addresses; one in four of routers that are silent, so that a cut that has
+	 * healed is noticed
+	 */
+	List<String> targets(int most, long nowMs) {
+		List<String> alive = new ArrayList<>();
+		List<String> silent = new ArrayList<>();
+		this.byAddress.forEach((address, peer) -> (alive(peer, nowMs) ? alive : silent).add(address));
+		Collections.shuffle(alive, asRandom());
+		Collections.shuffle(silent, asRandom());
+		List<String> targets = new ArrayList<>(alive.subList(0, Math.min(most, alive.size())));
+		if (!silent.isEmpty() && (targets.isEmpty() || this.random.nextInt(4) == 0)) {
+			targets.add(silent.getFirst());
+		}
+		return targets;
+	}
+
+	private Random asRandom() {
+		return Random.from(this.random);
+	}
+
+	/**
+	 * Routers that were heard lately.
+	 * @param nowMs the time
+	 * @return their last words
+	 */
+	List<PeerStatus> alive(long nowMs) {
+		return this.byAddress.values()
+			.stream()
+			.filter((peer) -> alive(peer, nowMs))
+			.map((peer) -> peer.status)
+			.toList();
+	}
+
+	/**
+	 * Tokens that other routers have in progress at an engine.
+	 * @param engineId the engine's name
+	 * @param nowMs the time
+	 * @return the sum of what they said last
+	 */
+	long tokensAt(String engineId, long nowMs) {
+		long sum = 0;
+		for (Peer peer : this.byAddress.values()) {
+			if (alive(peer, nowMs)) {
+				sum += peer.status.tokensByEngine().getOrDefault(engineId, 0L);
+			}
+		}
+		return sum;
+	}
+
+	/**
+	 * How many routers share what all may do: those known by address, whether heard or
+	 * not, since a router that is cut off must not take over the others' parts.
+	 * @param nowMs the time
+	 * @return the number, this one included
+	 */
+	int sharers(long nowMs) {
+		this.byAddress.values().removeIf((peer) -> peer.status != null && nowMs - peer.heardAtMs > REMEMBERED_MS);
+		return 1 + this.byAddress.size();
+	}
+
+	/**
+	 * Addresses to tell others.
+	 * @param nowMs the time
+	 * @return some routers that were heard lately
+	 */
+	List<String> toTell(long nowMs) {
+		Set<String> told = new HashSet<>();
+		for (PeerStatus status : alive(nowMs)) {
+			if (told.size() < MOST_ROUTERS_TOLD && !status.leaving()) {
+				told.add(status.address());
+			}
+		}
+		return List.copyOf(told);
+	}
+
+	private static boolean alive(Peer peer, long nowMs) {
+		return peer.status != null && nowMs - peer.heardAtMs < SILENT_MS;
+	}
+
+	/** A router that is known by address; confined to the table. */
+	private static final class Peer {
+
+		private PeerStatus status;
+
+		private long heardAtMs;
+
+	}
+
+}
--- a/whinjunction-router/src/main/java/io/whinjunction/router/Router.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/Router.java
@@ -3,15 +3,18 @@
 import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.UUID;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
 
 import com.google.common.flogger.FluentLogger;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -36,7 +39,8 @@
  * <p>
  * Everything runs on one event loop: instances have less than one core, and a request
  * touches a table, two connections and a few counters. Invariant: state is touched on the
- * loop only; {@link #start} and {@link #close} may be called from any thread.
+ * loop only; {@link #stop}, {@link #reload} and {@link #close} may be called from any
+ * thread.
  */
 public final class Router implements RouterContext, AutoCloseable {
 
@@ -51,6 +55,12 @@
 	/** The pause between two looks at idle connections, in milliseconds. */
 	private static final long SWEEP_MS = 500;
 
+	/** The pause before another try to announce, in milliseconds. */
+	private static final long ANNOUNCE_RETRY_MS = 500;
+
+	/** Bounds a message to others: engines of a failure domain that a router may use. */
+	private static final int MOST_ENGINES_TOLD = 48;
+
 	private static final int BACKLOG = 1024;
 
 	private static final int MAX_HEAD_BYTES = CallerLimits.DEFAULT.maxHeaderBytes();
@@ -75,6 +85,14 @@
 
 	private final TargetChooser chooser;
 
+	private final PeerTable peers;
+
+	private final PeerLink peerLink;
+
+	private final EngineWatch watch;
+
+	private final FleetStore store;
+
 	private final ConfigurationKeeper configurationKeeper;
 
 	private final DirectoryKeeper directoryKeeper;
@@ -87,9 +105,11 @@
 
 	private final Set<CallerConnection> callers = new HashSet<>();
 
+	private final Runnable onFatal;
+
 	private final Closer closer = new Closer();
 
-	private volatile Channel callerListener;
+	private Channel callerListener;
 
 	private boolean stopping;
 
@@ -99,9 +119,11 @@
 	 * @param settings its settings
 	 * @param ports what it speaks with the platform
 	 * @param boot a clock that counts suspensions
+	 * @param onFatal is run where the process can't do its work, for lack of a port
 	 */
-	public Router(EventLoopGroup group, RouterSettings settings, Ports ports, BootClock boot) {
+	public Router(EventLoopGroup group, RouterSettings settings, Ports ports, BootClock boot, Runnable onFatal) {
 		this.loop = group.next();
+		this.onFatal = onFatal;
 		this.settings = settings;
 		this.dialect = ports.dialect();
 		this.metrics = ports.metrics();
@@ -110,7 +132,11 @@
 				settings.bounds().configurationMs());
 		this.pool = new UpstreamPool(this.loop, this.dialect, this.ticker);
 		this.directory = new UpstreamDirectory((upstream) -> this.pool.drop(upstream.id()));
-		this.chooser = new TargetChooser(this.directory, settings.failureDomain());
+		this.peers = new PeerTable(text(settings.peers()), RandomGenerator.getDefault());
+		this.chooser = new TargetChooser(this.directory, this.peers, settings.failureDomain());
+		this.watch = new EngineWatch(this, ports.engines(), this::engineNews);
+		this.peerLink = new PeerLink(this, this.peers, this::ownStatus, this::peerHeard);
+		this.store = ports.store();
 		this.configurationKeeper = new ConfigurationKeeper(this.loop, ports.store(), this.proof, boot);
 		this.leadership = new Leadership(this.loop, ports.store(), settings.name(), this.ticker,
 				() -> UUID.randomUUID().toString());
@@ -118,15 +144,20 @@
 		this.directoryKeeper = new DirectoryKeeper(this.loop, ports.store(), this.directory, this.layerKeeper::plan);
 	}
 
-	/** Starts to listen and to keep what the store has. */
+	/**
+	 * Starts to listen and to keep what the store has. Called on the event loop, like the
+	 * constructor, so that one thread at a time loads classes.
+	 */
 	public void start() {
-		this.loop.execute(() -> {
-			this.configurationKeeper.start();
-			this.directoryKeeper.start();
-			this.leadership.start();
-			this.layerKeeper.start();
-			this.loop.scheduleAtFixedRate(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
-		});
+		this.configurationKeeper.start();
+		this.directoryKeeper.start();
+		this.leadership.start();
+		this.layerKeeper.start();
+		this.watch.start();
+		Channel peerChannel = this.peerLink.start(this.settings.peers());
+		this.closer.register(peerChannel::close);
+		announce();
+		this.loop.scheduleAtFixedRate(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
 		ReadyHandler ready = new ReadyHandler(this.dialect.readyPath(), this::ready, this.metrics);
 		listen(this.settings.ready(), (channel) -> channel.pipeline().addLast(new HttpServerCodec(), ready));
 		if (this.settings.metrics() != null) {
@@ -138,6 +169,42 @@
 					this.settings.callers());
 	}
 
+	private void announce() {
+		this.store.announce(this.settings.name(), text(this.settings.peers()), (reply) -> {
+			if (reply instanceof StoreReply.Found<List<String>> found) {
+				this.peers.addresses(found.value());
+				logger.atInfo().log("event=announced routers=%d", found.value().size());
+			}
+			else {
+				this.loop.schedule(this::announce, ANNOUNCE_RETRY_MS, TimeUnit.MILLISECONDS);
+			}
+		});
+	}
+
+	private PeerStatus ownStatus(long sequence, boolean answer) {
+		long ageMs = this.proof.ageMs(this.boot.nowMs());
+		long version = (configuration() != null) ? configuration().version() : -1;
+		return new PeerStatus(this.settings.name(), text(this.settings.peers()), this.settings.failureDomain(),
+				sequence, answer, version, (ageMs < this.settings.bounds().keysMs()) ? ageMs : -1,
+				this.watch.suspects(), this.directory.busiest(MOST_ENGINES_TOLD), this.peers.toTell(nowMs()),
+				this.stopping);
+	}
+
+	private void peerHeard(PeerStatus status) {
+		this.peers.heard(status, nowMs());
+		status.suspects().forEach(this.watch::hearsay);
+		this.configurationKeeper.heard(status.version(), this.peers.provedAtMs(status));
+	}
+
+	private void engineNews() {
+		this.peerLink.tellNow();
+		this.layerKeeper.plan();
+	}
+
+	private static String text(InetSocketAddress address) {
+		return address.getAddress().getHostAddress() + ":" + address.getPort();
+	}
+
 	private void initializeCaller(SocketChannel channel) {
 		HttpDecoderConfig config = new HttpDecoderConfig().setMaxHeaderSize(MAX_HEAD_BYTES)
 			.setMaxInitialLineLength(MAX_HEAD_BYTES);
@@ -154,18 +221,22 @@
 			}
 
 		};
-		Channel listener = new ServerBootstrap().group(this.loop)
+		ChannelFuture binding = new ServerBootstrap().group(this.loop)
 			.channel(NioServerSocketChannel.class)
 			.option(ChannelOption.SO_BACKLOG, BACKLOG)
 			.option(ChannelOption.SO_REUSEADDR, true)
 			.childOption(ChannelOption.TCP_NODELAY, true)
 			.childOption(ChannelOption.SO_KEEPALIVE, true)
 			.childHandler(children)
-			.bind(address)
-			.syncUninterruptibly()
-			.channel();
-		this.closer.register(listener::close);
-		return listener;
+			.bind(address);
+		binding.addListener((bound) -> {
+			if (!bound.isSuccess()) {
+				logger.atSevere().withCause(bound.cause()).log("event=listen-failed address=%s", address);
+				this.onFatal.run();
+			}
+		});
+		this.closer.register(() -> binding.channel().close());
+		return binding.channel();
 	}
 
 	/**
@@ -266,8 +337,13 @@
 	}
 
 	@Override
-	public FleetShare fleet() {
-		return new FleetShare(8, 2.5);
+	public PeerTable peers() {
+		return this.peers;
+	}
+
+	@Override
+	public EngineWatch watch() {
+		return this.watch;
 	}
 
 	@Override
@@ -285,11 +361,6 @@
 		return this.stopping;
 	}
 
-	@Override
-	public void suspect(String address) {
-		this.layerKeeper.plan();
-	}
-
 	/**
 	 * What a router speaks with the platform. Immutable.
 	 *
--- a/whinjunction-router/src/main/java/io/whinjunction/router/RouterContext.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/RouterContext.java
@@ -73,12 +73,6 @@
 	 */
 	FleetRetryBudget budget(String service);
 
-	/**
-	 * What is known of other routers.
-	 * @return the share
-	 */
-	FleetShare fleet();
-
 	/**
 	 * The callers' open connections.
 	 * @return the set, which connections add themselves to
@@ -98,9 +92,15 @@
 	boolean stopping();
 
 	/**
-	 * Hears that an engine made a request fail.
-	 * @param address the engine
+	 * Notices engines that don't answer.
+	 * @return the watch
+	 */
+	EngineWatch watch();
+
+	/**
+	 * The other routers.
+	 * @return the table
 	 */
-	void suspect(String address);
+	PeerTable peers();
 
 }
--- a/whinjunction-router/src/main/java/io/whinjunction/router/RouterSettings.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/RouterSettings.java
@@ -9,11 +9,12 @@
  * @param failureDomain where it runs
  * @param callers where it listens for callers
  * @param ready where the balancer asks whether it takes requests
+ * @param peers where it takes messages of other routers
  * @param metrics where its metrics are read, or {@code null}
  * @param bounds the times and counts that it keeps to
  */
 public record RouterSettings(String name, String failureDomain, InetSocketAddress callers, InetSocketAddress ready,
-		InetSocketAddress metrics, Bounds bounds) {
+		InetSocketAddress peers, InetSocketAddress metrics, Bounds bounds) {
 
 	/**
 	 * Times and counts. Immutable.
--- a/whinjunction-router/src/main/java/io/whinjunction/router/TargetChooser.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/TargetChooser.java
@@ -38,10 +38,13 @@
 
 	private final UpstreamDirectory directory;
 
+	private final PeerTable peers;
+
 	private final String failureDomain;
 
-	TargetChooser(UpstreamDirectory directory, String failureDomain) {
+	TargetChooser(UpstreamDirectory directory, PeerTable peers, String failureDomain) {
 		this.directory = directory;
+		this.peers = peers;
 		this.failureDomain = failureDomain;
 	}
 
@@ -50,12 +53,24 @@
 	 * @param service the service
 	 * @param tokens tokens that the request may take up
 	 * @param tried names of upstreams that failed the request
-	 * @param fleet what other routers are taken to do besides this one
 	 * @param nowMs the time
 	 * @return the target, or empty where nothing can serve the request now
 	 */
-	Optional<Target> choose(RoutedService service, int tokens, Set<String> tried, FleetShare fleet, long nowMs) {
-		return service.chained() ? chain(service, tokens, tried, fleet, nowMs) : single(service, tried, nowMs);
+	Optional<Target> choose(RoutedService service, int tokens, Set<String> tried, long nowMs) {
+		return service.chained() ? chain(service, tokens, tried, nowMs) : single(service, tried, nowMs);
+	}
+
+	/**
+	 * Chooses among upstreams that were tried already.
+	 * @param tried their names
+	 * @return the target, or empty where all of them are gone or leaving
+	 */
+	Optional<Target> chooseAgain(Set<String> tried) {
+		return tried.stream()
+			.map(this.directory::find)
+			.filter((state) -> state != null && !state.upstream().leaving())
+			.min(Comparator.comparingInt(UpstreamState::requests))
+			.map((state) -> new Target(state.upstream(), List.of()));
 	}
 
 	private Optional<Target> single(RoutedService service, Set<String> tried, long nowMs) {
@@ -72,33 +87,34 @@
 			.map((state) -> new Target(state.upstream(), List.of()));
 	}
 
-	private Optional<Target> chain(RoutedService service, int tokens, Set<String> tried, FleetShare fleet, long nowMs) {
+	private Optional<Target> chain(RoutedService service, int tokens, Set<String> tried, long nowMs) {
 		ModelProfile profile = service.model();
 		List<PathFinder.Candidate> candidates = new ArrayList<>();
 		for (UpstreamState state : this.directory.staying(service.name())) {
 			EngineKind kind = profile.kinds().get(state.upstream().kind());
 			if (state.upstream().held() != null && kind != null && !tried.contains(state.upstream().id())) {
-				candidates.add(candidate(profile, kind, state, tokens, fleet, nowMs));
+				candidates.add(candidate(profile, kind, state, tokens, nowMs));
 			}
 		}
 		return PathFinder.find(profile, candidates, this.failureDomain).map(this::target);
 	}
 
 	private PathFinder.Candidate candidate(ModelProfile profile, EngineKind kind, UpstreamState state, int tokens,
-			FleetShare fleet, long nowMs) {
+			long nowMs) {
 		Upstream upstream = state.upstream();
 		Engine engine = new Engine(upstream.id(), upstream.address(), upstream.failureDomain(), kind, upstream.held(),
 				false);
 		double penaltyMs = state.avoided(nowMs) ? AVOIDED_MS : 0;
 		double room = profile.roomTokens(kind, engine.heldLayers());
-		double usedPart = (state.tokens() * fleet.routersPerDomain() + tokens) / Math.max(1, room);
+		double used = state.tokens() + this.peers.tokensAt(upstream.id(), nowMs);
+		double usedPart = (used + tokens) / Math.max(1, room);
 		if (usedPart > 1) {
 			penaltyMs += FULL_MS;
 		}
 		else if (usedPart > CROWDED_PART) {
 			penaltyMs += CROWDED_MS * (usedPart - CROWDED_PART) / (1 - CROWDED_PART);
 		}
-		double writing = state.requests() * fleet.routersPerDomain();
+		double writing = used / Math.max(1, profile.usualTokens());
 		return new PathFinder.Candidate(engine, profile.layerStepMs(kind, writing), penaltyMs);
 	}
 
--- a/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamDirectory.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamDirectory.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -107,6 +108,22 @@
 		return staying;
 	}
 
+	/**
+	 * Tokens of this process's requests at the engines that have most of them.
+	 * @param most how many engines
+	 * @return tokens by the engine's name
+	 */
+	Map<String, Long> busiest(int most) {
+		Map<String, Long> tokens = new HashMap<>();
+		this.byId.values()
+			.stream()
+			.filter((state) -> state.tokens() > 0)
+			.sorted(Comparator.comparingLong(UpstreamState::tokens).reversed())
+			.limit(most)
+			.forEach((state) -> tokens.put(state.upstream().id(), state.tokens()));
+		return tokens;
+	}
+
 	/**
 	 * How many upstreams are known.
 	 * @return the number
--- a/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamPool.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamPool.java
@@ -1,6 +1,5 @@
 package io.whinjunction.router;
 
-import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
@@ -141,14 +140,9 @@
 				}
 
 			});
-		ChannelFuture connecting = bootstrap.connect(address(upstream.address()));
+		ChannelFuture connecting = bootstrap.connect(Addresses.parse(upstream.address()));
 		connection.attach(connecting.channel());
 		connecting.addListener((future) -> done.accept(future.isSuccess() ? connection : null));
 	}
 
-	private static InetSocketAddress address(String text) {
-		int colon = text.lastIndexOf(':');
-		return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
-	}
-
 }
--- a/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamState.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamState.java
@@ -45,7 +45,7 @@
 	}
 
 	void avoidUntil(long untilMs) {
-		this.avoidedUntilMs = Math.max(this.avoidedUntilMs, untilMs);
+		this.avoidedUntilMs = untilMs;
 	}
 
 	boolean avoided(long nowMs) {
