Detours by order, configuration through peers, callers let in when there is something to say

Now the first engine is told another path, the configuration is fetched from a peer with the age of its proof, and the port opens when both are known.

--- a/whinjunction-core/src/main/java/io/whinjunction/chain/PathFinder.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/chain/PathFinder.java
@@ -24,8 +24,8 @@
  * room. A path may leave the failure domain, or lie in another one as a whole, where that
  * is cheaper than a full or missing engine at home.
  * <p>
- * Invariants: the layers of a path follow each other from 0 to the last without gap or
- * overlap; no engine stands in it twice. Stateless.
+ * Invariants: the layers of a path follow each other from its start to the last without
+ * gap or overlap; no engine stands in it twice. Stateless.
  */
 public final class PathFinder {
 
@@ -57,17 +57,15 @@
 	 * Finds the cheapest path.
 	 * @param profile the model
 	 * @param engines engines that may be used, with what they cost
-	 * @param home the failure domain of the caller
-	 * @param mayStart whether a path may begin at an engine
+	 * @param start where the path begins
 	 * @return the hops in order, or empty where no path covers all layers
 	 */
-	public static Optional<List<Hop>> find(ModelProfile profile, Collection<Candidate> engines, String home,
-			Predicate<Engine> mayStart) {
+	public static Optional<List<Hop>> find(ModelProfile profile, Collection<Candidate> engines, Start start) {
 		Set<String> excluded = new HashSet<>();
 		// Each round excludes one engine that stood between two parts of another, so
 		// that the rounds end.
 		while (excluded.size() <= engines.size()) {
-			Search search = new Search(profile, engines, home, mayStart, excluded);
+			Search search = new Search(profile, engines, start, excluded);
 			List<Hop> hops = search.run();
 			if (hops == null || hops.size() > MOST_HOPS) {
 				return Optional.empty();
@@ -92,6 +90,37 @@
 		return null;
 	}
 
+	/**
+	 * Where a path begins. Immutable.
+	 *
+	 * @param layer the first layer that it covers
+	 * @param failureDomain the failure domain from which it is reached without a detour
+	 * @param awayMs what beginning in another one costs, in milliseconds
+	 * @param mayStart whether it may begin at an engine
+	 */
+	public record Start(int layer, String failureDomain, double awayMs, Predicate<Engine> mayStart) {
+
+		/**
+		 * A whole path.
+		 * @param home the failure domain of the caller
+		 * @param mayStart whether it may begin at an engine
+		 * @return the start
+		 */
+		public static Start whole(String home, Predicate<Engine> mayStart) {
+			return new Start(0, home, AWAY_MS, mayStart);
+		}
+
+		/**
+		 * The rest of a path whose first hop stays.
+		 * @param first the first hop
+		 * @return the start
+		 */
+		public static Start after(Hop first) {
+			return new Start(first.layers().end(), first.engine().failureDomain(), DOMAIN_CHANGE_MS, (engine) -> true);
+		}
+
+	}
+
 	/**
 	 * An engine that may be used.
 	 *
@@ -115,17 +144,16 @@
 
 		private static final int HOME = 0;
 
-		private final Predicate<Engine> mayStart;
+		private final Start start;
 
 		private final double[] costs;
 
 		private final Step[] steps;
 
-		Search(ModelProfile profile, Collection<Candidate> engines, String home, Predicate<Engine> mayStart,
-				Set<String> excluded) {
-			this.mayStart = mayStart;
-			TreeSet<Integer> bounds = new TreeSet<>(List.of(0, profile.layers()));
-			this.domains.put(home, HOME);
+		Search(ModelProfile profile, Collection<Candidate> engines, Start start, Set<String> excluded) {
+			this.start = start;
+			TreeSet<Integer> bounds = new TreeSet<>(Set.of(start.layer(), profile.layers()));
+			this.domains.put(start.failureDomain(), HOME);
 			for (Candidate candidate : engines) {
 				if (!excluded.contains(candidate.engine().id())) {
 					bounds.add(candidate.engine().held().first());
@@ -146,14 +174,14 @@
 			this.steps = new Step[this.costs.length];
 			Arrays.fill(this.costs, Double.POSITIVE_INFINITY);
 			for (int domain = 0; domain < this.domains.size(); domain++) {
-				this.costs[domain] = (domain != HOME) ? AWAY_MS : 0;
+				this.costs[firstBound() * this.domains.size() + domain] = (domain == HOME) ? 0 : start.awayMs();
 			}
 		}
 
 		List<Hop> run() {
-			for (int from = 0; from + 1 < this.bounds.length; from++) {
+			for (int from = firstBound(); from + 1 < this.bounds.length; from++) {
 				for (Candidate candidate : this.startingAt.get(from)) {
-					if (from > 0 || this.mayStart.test(candidate.engine())) {
+					if (from > firstBound() || this.start.mayStart().test(candidate.engine())) {
 						relax(from, candidate);
 					}
 				}
@@ -161,6 +189,10 @@
 			return back();
 		}
 
+		private int firstBound() {
+			return Arrays.binarySearch(this.bounds, this.start.layer());
+		}
+
 		private void addToBounds(Candidate candidate) {
 			LayerRange held = candidate.engine().held();
 			for (int index = 0; index < this.bounds.length; index++) {
@@ -212,7 +244,7 @@
 				return null;
 			}
 			List<Hop> hops = new ArrayList<>();
-			while (at > 0) {
+			while (at > firstBound()) {
 				Step step = this.steps[at * this.domains.size() + domain];
 				hops.add(new Hop(step.engine(), new LayerRange(this.bounds[step.from()], this.bounds[at])));
 				at = step.from();
--- a/whinjunction-router/src/main/java/io/whinjunction/router/Attempt.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/Attempt.java
@@ -1,5 +1,9 @@
 package io.whinjunction.router;
 
+import java.util.List;
+import java.util.Optional;
+
+import com.google.common.flogger.FluentLogger;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
@@ -27,12 +31,14 @@
  */
 final class Attempt implements UpstreamListener {
 
+	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
 	/** Answers up to this size are read whole before they are passed on, in bytes. */
 	private static final int WHOLE_ANSWER_BYTES = 262_144;
 
 	private final ForwardSession session;
 
-	private final Target target;
+	private Target target;
 
 	private UpstreamConnection connection;
 
@@ -46,6 +52,8 @@
 
 	private boolean streaming;
 
+	private boolean detouring;
+
 	private int pieces;
 
 	private long firstAtMs;
@@ -205,11 +213,46 @@
 	}
 
 	/**
-	 * It waits for an engine that doesn't answer.
+	 * It waits for an engine that doesn't answer. Where the first engine of the path
+	 * lives, it is told of another path: only the new engines read what came so far, and
+	 * no repeat is spent. Otherwise the session goes on with another attempt.
 	 * @param address the engine
 	 */
 	void stalled(String address) {
-		this.session.onStalled(address);
+		if (this.detouring) {
+			return;
+		}
+		Hop first = this.target.path().getFirst();
+		Optional<List<Hop>> detour = (this.pieces > 0 && !first.engine().address().equals(address))
+				? this.session.detour(address, first) : Optional.empty();
+		if (detour.isEmpty()) {
+			this.session.onStalled(address);
+			return;
+		}
+		this.detouring = true;
+		this.session.router()
+			.engines()
+			.repath(first.engine().address(), this.session.request().id(), detour.get(),
+					(reply) -> detoured(address, detour.get(), reply));
+	}
+
+	private void detoured(String address, List<Hop> path, OrderReply reply) {
+		if (this.ended) {
+			return;
+		}
+		logger.atInfo()
+			.log("event=detour id=%s faulty=%s hops=%d reply=\"%s\"", this.session.request().id(), address, path.size(),
+					reply);
+		this.detouring = false;
+		if (reply instanceof OrderReply.Accepted) {
+			count(false);
+			this.target = new Target(this.target.first(), path);
+			count(true);
+			this.progressAtMs = this.session.router().nowMs();
+		}
+		else {
+			this.session.onStalled(address);
+		}
 	}
 
 	/** Gives the attempt up; the upstream is told by the end of its connection. */
--- a/whinjunction-router/src/main/java/io/whinjunction/router/ConfigurationKeeper.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/ConfigurationKeeper.java
@@ -41,9 +41,11 @@
 
 	private final BootClock boot;
 
+	private final Runnable changed;
+
 	private final RandomGenerator random = RandomGenerator.getDefault();
 
-	private RoutingConfiguration configuration;
+	private ConfigurationDocument document;
 
 	private boolean inTouch = true;
 
@@ -51,9 +53,20 @@
 
 	private boolean reading;
 
+	private boolean fetching;
+
 	private boolean stopped;
 
-	ConfigurationKeeper(EventLoop loop, FleetStore store, ConfigurationProof proof, BootClock boot) {
+	/**
+	 * A keeper.
+	 * @param loop the event loop
+	 * @param store where the configuration is
+	 * @param proof what to keep fresh
+	 * @param boot the clock of proofs
+	 * @param changed is run after each change
+	 */
+	ConfigurationKeeper(EventLoop loop, FleetStore store, ConfigurationProof proof, BootClock boot, Runnable changed) {
+		this.changed = changed;
 		this.loop = loop;
 		this.store = store;
 		this.proof = proof;
@@ -61,7 +74,15 @@
 	}
 
 	RoutingConfiguration configuration() {
-		return this.configuration;
+		return (this.document != null) ? this.document.configuration() : null;
+	}
+
+	/**
+	 * The configuration in force with its text.
+	 * @return the document, or {@code null} before the first
+	 */
+	ConfigurationDocument document() {
+		return this.document;
 	}
 
 	void start() {
@@ -72,17 +93,34 @@
 	 * Hears of a version from another router.
 	 * @param version the version in force there
 	 * @param provedAtMs when it was proved to be the newest, on the clock of proofs
+	 * @param peerAddress where that router takes messages
 	 */
-	void heard(long version, long provedAtMs) {
-		if (this.configuration == null) {
-			return;
-		}
-		if (version == this.configuration.version()) {
+	void heard(long version, long provedAtMs, String peerAddress) {
+		long own = (configuration() != null) ? configuration().version() : -1;
+		if (version == own && version >= 0) {
 			this.proof.proved(provedAtMs);
 		}
-		else if (version > this.configuration.version() && !this.reading) {
+		else if (version > own && this.inTouch && !this.reading) {
 			read();
 		}
+		else if (version > own && !this.inTouch && !this.fetching) {
+			// The store turns this router away and serves others: keys that were taken
+			// away
+			// meanwhile are known only there.
+			this.fetching = true;
+			long askedAtMs = this.boot.nowMs();
+			this.store.fetchConfiguration(peerAddress, (reply) -> takeFetched(reply, askedAtMs));
+		}
+	}
+
+	private void takeFetched(StoreReply<FleetStore.Fetched> reply, long askedAtMs) {
+		this.fetching = false;
+		if (reply instanceof StoreReply.Found<FleetStore.Fetched> found) {
+			offer(found.value().document(), askedAtMs - found.value().proofAgeMs());
+		}
+		else {
+			logger.atWarning().log("event=fetch-failed reason=\"%s\"", reply);
+		}
 	}
 
 	void stop() {
@@ -98,10 +136,11 @@
 		this.store.readConfiguration((reply) -> take(reply, askedAtMs));
 	}
 
-	private void take(StoreReply<RoutingConfiguration> reply, long askedAtMs) {
+	private void take(StoreReply<ConfigurationDocument> reply, long askedAtMs) {
 		this.reading = false;
 		long pauseMs = RETRY_MS;
-		if (reply instanceof StoreReply.Found<RoutingConfiguration> found) {
+		if (reply instanceof StoreReply.Found<ConfigurationDocument> found) {
+			noteTouch(true, "read");
 			offer(found.value(), askedAtMs);
 			pauseMs = PERIOD_MS;
 		}
@@ -126,20 +165,19 @@
 		read();
 	}
 
-	private void offer(RoutingConfiguration read, long askedAtMs) {
-		noteTouch(true, "read");
-		if (this.configuration != null && read.version() < this.configuration.version()) {
-			logger.atWarning()
-				.log("event=configuration-older version=%d in-force=%d", read.version(), this.configuration.version());
+	private void offer(ConfigurationDocument read, long provedAtMs) {
+		long before = (configuration() != null) ? configuration().version() : -1;
+		long version = read.configuration().version();
+		if (version < before) {
+			logger.atWarning().log("event=configuration-older version=%d in-force=%d", version, before);
 			return;
 		}
-		if (this.configuration == null || read.version() > this.configuration.version()) {
-			logger.atInfo()
-				.log("event=configuration version=%d before=%d", read.version(),
-						(this.configuration != null) ? this.configuration.version() : -1);
-			this.configuration = read;
+		if (version > before) {
+			logger.atInfo().log("event=configuration version=%d before=%d in-touch=%s", version, before, this.inTouch);
+			this.document = read;
+			this.changed.run();
 		}
-		this.proof.proved(askedAtMs);
+		this.proof.proved(provedAtMs);
 	}
 
 	private void noteTouch(boolean now, String reason) {
--- a/whinjunction-router/src/main/java/io/whinjunction/router/FleetStore.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/FleetStore.java
@@ -3,8 +3,6 @@
 import java.util.List;
 import java.util.function.Consumer;
 
-import io.whinjunction.routing.RoutingConfiguration;
-
 /**
  * What a router reads and writes in the platform's store. Calls don't block; each reply
  * comes once, on the event loop, at the latest after the call's time limit.
@@ -15,7 +13,14 @@
 	 * Reads the newest configuration, linearizably.
 	 * @param done takes the reply
 	 */
-	void readConfiguration(Consumer<StoreReply<RoutingConfiguration>> done);
+	void readConfiguration(Consumer<StoreReply<ConfigurationDocument>> done);
+
+	/**
+	 * Reads the newest configuration from another router.
+	 * @param peerAddress {@code IP:PORT} where it takes messages
+	 * @param done takes the reply
+	 */
+	void fetchConfiguration(String peerAddress, Consumer<StoreReply<Fetched>> done);
 
 	/**
 	 * Lists all upstreams.
@@ -52,4 +57,13 @@
 	 */
 	void writeLease(LeaseObject lease, Consumer<StoreReply<LeaseObject>> done);
 
+	/**
+	 * A configuration from another router. Immutable.
+	 *
+	 * @param document the configuration
+	 * @param proofAgeMs the age of its proof there when it answered, in milliseconds
+	 */
+	record Fetched(ConfigurationDocument document, long proofAgeMs) {
+	}
+
 }
--- a/whinjunction-router/src/main/java/io/whinjunction/router/ForwardSession.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/ForwardSession.java
@@ -1,6 +1,7 @@
 package io.whinjunction.router;
 
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -10,6 +11,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.util.concurrent.ScheduledFuture;
+import io.whinjunction.chain.Hop;
 import io.whinjunction.forward.AttemptEnd;
 import io.whinjunction.forward.NextStep;
 import io.whinjunction.forward.RetryPolicy;
@@ -313,6 +315,21 @@
 		}
 	}
 
+	/**
+	 * Looks for another path for the attempt under way.
+	 * @param faultyAddress the engine to leave out
+	 * @param first the hop that stays
+	 * @return the whole path, or empty where there is none
+	 */
+	Optional<List<Hop>> detour(String faultyAddress, Hop first) {
+		UpstreamState faulty = this.router.directory().findByAddress(faultyAddress);
+		if (faulty != null) {
+			this.tried.add(faulty.upstream().id());
+		}
+		TargetChooser.Wish wish = new TargetChooser.Wish(this.service, expectedTokens(), this.tried, null);
+		return this.router.chooser().detour(wish, first, this.router.nowMs());
+	}
+
 	private boolean repeatGranted() {
 		return this.router.budget(this.service.name())
 			.tryRepeat(this.router.nowMs(), this.router.peers().sharers(this.router.nowMs()));
@@ -328,8 +345,9 @@
 			return;
 		}
 		Upstream first = ended.target().first();
-		boolean chained = this.service.chained();
-		if (!chained || !(end instanceof AttemptEnd.NotRun)) {
+		// A chain may begin at the same engine again: a lost answer or a full engine says
+		// little of it, and where the route allows no other one, there is none else.
+		if (!this.service.chained()) {
 			this.tried.add(first.id());
 		}
 		UpstreamState state = this.router.directory().find(first.id());
--- a/whinjunction-router/src/main/java/io/whinjunction/router/Router.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/Router.java
@@ -92,6 +92,8 @@
 
 	private final FleetStore store;
 
+	private final EngineControl engines;
+
 	private final ConfigurationKeeper configurationKeeper;
 
 	private final DirectoryKeeper directoryKeeper;
@@ -135,13 +137,15 @@
 		this.watch = new EngineWatch(this, ports.engines(), this::engineNews);
 		this.peerLink = new PeerLink(this, this.peers, this::ownStatus, this::peerHeard);
 		this.store = ports.store();
-		this.configurationKeeper = new ConfigurationKeeper(this.loop, ports.store(), this.proof, boot);
+		this.engines = ports.engines();
+		this.configurationKeeper = new ConfigurationKeeper(this.loop, ports.store(), this.proof, boot,
+				this::listenWhenKnown);
 		this.leadership = new Leadership(this.loop, ports.store(), settings.name(), this.ticker,
 				() -> peers().hasLeader(nowMs()));
 		this.layerKeeper = new LayerKeeper(this, ports.engines(), this.leadership);
 		this.chooser = new TargetChooser(this.directory, this.peers, this.layerKeeper.paces(),
 				settings.failureDomain());
-		this.directoryKeeper = new DirectoryKeeper(this.loop, ports.store(), this.directory, this.layerKeeper::plan);
+		this.directoryKeeper = new DirectoryKeeper(this.loop, ports.store(), this.directory, this::directoryChanged);
 	}
 
 	/**
@@ -156,6 +160,9 @@
 		this.watch.start();
 		Channel peerChannel = this.peerLink.start(this.settings.peers());
 		this.closer.register(peerChannel::close);
+		PeerDocuments documents = new PeerDocuments(this.configurationKeeper::document,
+				() -> this.proof.ageMs(this.boot.nowMs()));
+		listen(this.settings.peers(), (channel) -> channel.pipeline().addLast(new HttpServerCodec(), documents));
 		announce();
 		this.loop.scheduleAtFixedRate(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
 		ReadyHandler ready = new ReadyHandler(this.dialect.readyPath(), this::ready, this.metrics);
@@ -163,12 +170,32 @@
 		if (this.settings.metrics() != null) {
 			listen(this.settings.metrics(), (channel) -> channel.pipeline().addLast(new HttpServerCodec(), ready));
 		}
-		this.callerListener = listen(this.settings.callers(), this::initializeCaller);
 		logger.atInfo()
 			.log("event=started name=%s domain=%s callers=%s", this.settings.name(), this.settings.failureDomain(),
 					this.settings.callers());
 	}
 
+	private void directoryChanged() {
+		listenWhenKnown();
+		this.layerKeeper.plan();
+	}
+
+	// Callers are let in when there is something to say to them: a request that came a
+	// tenth of a second sooner would only be refused.
+	private void listenWhenKnown() {
+		if (this.callerListener == null && !this.stopping && configuration() != null && this.directoryKeeper.listed()) {
+			this.callerListener = listen(this.settings.callers(), this::initializeCaller);
+			logger.atInfo()
+				.log("event=listening version=%d upstreams=%d", configuration().version(), this.directory.size());
+		}
+	}
+
+	private void stopListening() {
+		if (this.callerListener != null) {
+			this.callerListener.close();
+		}
+	}
+
 	private void announce() {
 		this.store.announce(this.settings.name(), text(this.settings.peers()), (reply) -> {
 			if (reply instanceof StoreReply.Found<List<String>> found) {
@@ -193,7 +220,7 @@
 	private void peerHeard(PeerStatus status) {
 		this.peers.heard(status, nowMs());
 		status.suspects().forEach(this.watch::hearsay);
-		this.configurationKeeper.heard(status.version(), this.peers.provedAtMs(status));
+		this.configurationKeeper.heard(status.version(), this.peers.provedAtMs(status), status.address());
 	}
 
 	private void engineNews() {
@@ -252,7 +279,7 @@
 			this.stopping = true;
 			logger.atInfo().log("event=stopping callers=%d", this.callers.size());
 			this.leadership.stop();
-			new StopSequence(this, this.settings.bounds().graceMs(), this.callerListener::close, stopped).start();
+			new StopSequence(this, this.settings.bounds().graceMs(), this::stopListening, stopped).start();
 		});
 	}
 
@@ -341,6 +368,11 @@
 		return this.peers;
 	}
 
+	@Override
+	public EngineControl engines() {
+		return this.engines;
+	}
+
 	@Override
 	public EngineWatch watch() {
 		return this.watch;
--- a/whinjunction-router/src/main/java/io/whinjunction/router/RouterContext.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/RouterContext.java
@@ -97,6 +97,12 @@
 	 */
 	EngineWatch watch();
 
+	/**
+	 * Reports of and orders to engines.
+	 * @return the control
+	 */
+	EngineControl engines();
+
 	/**
 	 * The other routers.
 	 * @return the table
--- a/whinjunction-router/src/main/java/io/whinjunction/router/TargetChooser.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/TargetChooser.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 
 import io.whinjunction.chain.Engine;
 import io.whinjunction.chain.EngineKind;
@@ -103,6 +104,30 @@
 	}
 
 	private Optional<Target> chain(Wish wish, long nowMs) {
+		Predicate<Engine> mayStart = (engine) -> wish.onlyFirst() == null || wish.onlyFirst().contains(engine.id());
+		return PathFinder
+			.find(wish.service().model(), candidates(wish, nowMs), PathFinder.Start.whole(this.failureDomain, mayStart))
+			.map(this::target);
+	}
+
+	/**
+	 * Chooses another path whose first hop stays.
+	 * @param wish what is needed
+	 * @param first the first hop
+	 * @param nowMs the time
+	 * @return the whole path, or empty where there is none
+	 */
+	Optional<List<Hop>> detour(Wish wish, Hop first, long nowMs) {
+		List<PathFinder.Candidate> others = candidates(wish, nowMs);
+		others.removeIf((candidate) -> candidate.engine().id().equals(first.engine().id()));
+		return PathFinder.find(wish.service().model(), others, PathFinder.Start.after(first)).map((rest) -> {
+			List<Hop> path = new ArrayList<>(List.of(first));
+			path.addAll(rest);
+			return path;
+		});
+	}
+
+	private List<PathFinder.Candidate> candidates(Wish wish, long nowMs) {
 		ModelProfile profile = wish.service().model();
 		List<PathFinder.Candidate> candidates = new ArrayList<>();
 		for (UpstreamState state : this.directory.staying(wish.service().name())) {
@@ -111,10 +136,7 @@
 				candidates.add(candidate(profile, kind, state, wish.tokens(), nowMs));
 			}
 		}
-		return PathFinder
-			.find(profile, candidates, this.failureDomain,
-					(engine) -> wish.onlyFirst() == null || wish.onlyFirst().contains(engine.id()))
-			.map(this::target);
+		return candidates;
 	}
 
 	private PathFinder.Candidate candidate(ModelProfile profile, EngineKind kind, UpstreamState state, int tokens,
