--- a/whinjunction-core/src/main/java/io/whinjunction/chain/LayerPlanner.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/chain/LayerPlanner.java
@@ -4,7 +4,9 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
+import java.util.function.ToDoubleFunction;
 import java.util.stream.Collectors;
 
 import io.whinjunction.configuration.LayerRange;
@@ -25,10 +27,11 @@
 public final class LayerPlanner {
 
 	/**
-	 * Room that an extended engine keeps, in tokens: about eight requests. Less room than
-	 * a planned engine keeps, because the hole costs more than refused requests.
+	 * Room that an engine keeps which fills a hole, in tokens: about thirty requests.
+	 * With eight, a path through it was fuller than routers could know, and a hole that
+	 * other failure domains go round costs less than that.
 	 */
-	private static final long EXTENDED_RESERVE_TOKENS = 8_000;
+	private static final long EXTENDED_RESERVE_TOKENS = 30_000;
 
 	/**
 	 * The part of the tightest holder's room that an empty engine keeps when it fills a
@@ -38,6 +41,15 @@
 	 */
 	private static final double USUAL_ROOM_PART = 0.8;
 
+	/**
+	 * An engine that is taken up by more than this is helped: loading a copy takes one to
+	 * two seconds, in which a peak fills the rest.
+	 */
+	private static final double RELIEVED_PART = 0.6;
+
+	/** Empty engines that stay so for the next loss. */
+	private static final int KEPT_EMPTY = 1;
+
 	private LayerPlanner() {
 	}
 
@@ -66,6 +78,24 @@
 		return placements;
 	}
 
+	/**
+	 * Plans copies of layers whose only holder is crowded.
+	 * @param profile the model
+	 * @param engines all engines, as for {@link #plan}
+	 * @param usedPart the part of an engine's room that is taken
+	 * @return at most one placement for a failure domain
+	 */
+	public static List<Placement> relieve(ModelProfile profile, List<Engine> engines,
+			ToDoubleFunction<Engine> usedPart) {
+		Map<String, List<Engine>> byDomain = engines.stream()
+			.filter((engine) -> !engine.leaving())
+			.collect(Collectors.groupingBy(Engine::failureDomain, TreeMap::new, Collectors.toList()));
+		List<Placement> placements = new ArrayList<>();
+		byDomain.values()
+			.forEach((ofDomain) -> new Repair(profile, ofDomain, 1).relief(usedPart).ifPresent(placements::add));
+		return placements;
+	}
+
 	/** The repair of one failure domain; confined to its caller. */
 	private static final class Repair {
 
@@ -116,6 +146,45 @@
 			}
 		}
 
+		Optional<Placement> relief(ToDoubleFunction<Engine> usedPart) {
+			Engine crowded = this.holders.stream()
+				.filter((engine) -> usedPart.applyAsDouble(engine) > RELIEVED_PART && alone(engine.held()) != null)
+				.max(Comparator.comparingDouble(usedPart))
+				.orElse(null);
+			if (crowded == null || this.empty.size() <= KEPT_EMPTY || !affordable(crowded)) {
+				return Optional.empty();
+			}
+			Engine helper = this.empty.getLast();
+			LayerRange alone = alone(crowded.held());
+			long room = this.profile.roomTokens(crowded.kind(), crowded.heldLayers());
+			int taken = Math.min(alone.end() - alone.first(), this.profile.mostLayers(helper.kind(), room));
+			return (taken > 0)
+					? Optional.of(new Placement(helper, new LayerRange(alone.first(), alone.first() + taken)))
+					: Optional.empty();
+		}
+
+		// A copy of the largest holder's layers also makes its loss smaller. For any
+		// other
+		// one, enough has to stay empty to take the largest holder's place.
+		private boolean affordable(Engine crowded) {
+			int largest = this.holders.stream().mapToInt(Engine::heldLayers).max().orElse(0);
+			int left = this.empty.subList(0, this.empty.size() - 1).stream().mapToInt(this::most).sum();
+			return crowded.heldLayers() == largest || left >= largest;
+		}
+
+		// The first stretch of layers that nobody else holds.
+		private LayerRange alone(LayerRange held) {
+			int first = held.first();
+			while (first < held.end() && this.coverage[first] > 1) {
+				first++;
+			}
+			int end = first;
+			while (end < held.end() && this.coverage[end] == 1) {
+				end++;
+			}
+			return (end > first) ? new LayerRange(first, end) : null;
+		}
+
 		private void cover(LayerRange range) {
 			for (int layer = range.first(); layer < range.end(); layer++) {
 				this.coverage[layer]++;
--- a/whinjunction-core/src/test/java/io/whinjunction/chain/LayerPlannerTests.java
+++ b/whinjunction-core/src/test/java/io/whinjunction/chain/LayerPlannerTests.java
@@ -93,6 +93,34 @@
 		assertThat(LayerPlanner.plan(MixedCards.PROFILE, leaving)).hasSize(1);
 	}
 
+	// Seventeen in a hundred are on time: 133 requests wait at an engine whose memory is
+	// full
+	// while engines beside it are empty. One of them takes a copy of a part of its
+	// layers,
+	// and one stays empty for the next loss.
+	@Test
+	void aCrowdedEngineIsHelpedByAnEmptyOneAndOneStaysEmpty() {
+		List<Engine> engines = plan(MixedCards.emptyDomain("a"));
+		int copies = 0;
+		List<Placement> orders = relieve(engines, 0.9);
+		while (!orders.isEmpty()) {
+			assertThat(orders).hasSize(1);
+			assertThat(orders.getFirst().layers().first()).isLessThan(25);
+			engines = MixedCards.placed(engines, orders);
+			copies++;
+			orders = relieve(engines, 0.9);
+		}
+
+		assertThat(copies).isEqualTo(2);
+		assertThat(engines.stream().filter((engine) -> engine.held() == null)).hasSize(1);
+		assertThat(relieve(plan(MixedCards.emptyDomain("a")), 0.5)).isEmpty();
+	}
+
+	private static List<Placement> relieve(List<Engine> engines, double usedPart) {
+		return LayerPlanner.relieve(MixedCards.PROFILE, engines,
+				(engine) -> engine.id().equals("a-a") ? usedPart : 0.1);
+	}
+
 	@Test
 	void nothingIsOrderedWhereNothingIsMissing() {
 		assertThat(LayerPlanner.plan(MixedCards.PROFILE, plan(MixedCards.emptyDomain("a")))).isEmpty();
--- a/whinjunction-router/src/main/java/io/whinjunction/router/ForwardSession.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/ForwardSession.java
@@ -274,7 +274,7 @@
 	private Optional<Target> chooseTarget() {
 		boolean again = RetryPolicy.onlyTriedOnes(this.route, this.sentTo.size());
 		TargetChooser.Wish wish = new TargetChooser.Wish(this.service, expectedTokens(), this.tried,
-				again ? this.sentTo : null);
+				again ? this.sentTo : null, !this.answerBegun);
 		return this.router.chooser().choose(wish, this.router.nowMs());
 	}
 
@@ -348,7 +348,7 @@
 		if (faulty != null) {
 			this.tried.add(faulty.upstream().id());
 		}
-		TargetChooser.Wish wish = new TargetChooser.Wish(this.service, expectedTokens(), this.tried, null);
+		TargetChooser.Wish wish = new TargetChooser.Wish(this.service, expectedTokens(), this.tried, null, false);
 		return this.router.chooser().detour(wish, first, this.router.nowMs());
 	}
 
--- a/whinjunction-router/src/main/java/io/whinjunction/router/LayerKeeper.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/LayerKeeper.java
@@ -40,6 +40,12 @@
 	 */
 	private static final long SURVEY_MS = 1500;
 
+	/**
+	 * The pause between two copies in a failure domain, in milliseconds: one is loaded
+	 * and has taken its part of the load by then.
+	 */
+	private static final long RELIEF_PAUSE_MS = 2000;
+
 	/** An engine that works more than this much slower than usual is told of. */
 	private static final double SLOW_PACE = 1.2;
 
@@ -67,6 +73,8 @@
 
 	private final Map<String, Ordered> ordered = new HashMap<>();
 
+	private final Map<String, Long> relievedAtMs = new HashMap<>();
+
 	private final Map<String, Double> paces = new HashMap<>();
 
 	private final Map<String, Settling> settling = new HashMap<>();
@@ -150,11 +158,33 @@
 			}
 		}
 		Set<String> unsettled = unsettled(service.name(), state);
-		for (Placement placement : LayerPlanner.plan(profile, state)) {
+		List<Placement> repairs = LayerPlanner.plan(profile, state);
+		for (Placement placement : repairs) {
 			if (!unsettled.contains(placement.engine().failureDomain())) {
 				order(profile, placement);
 			}
 		}
+		if (repairs.isEmpty()) {
+			relieve(profile, state);
+		}
+	}
+
+	private void relieve(ModelProfile profile, List<Engine> state) {
+		long nowMs = this.router.nowMs();
+		for (Placement placement : LayerPlanner.relieve(profile, state, (engine) -> usedPart(profile, engine))) {
+			String domain = placement.engine().failureDomain();
+			Long lastMs = this.relievedAtMs.get(domain);
+			if (lastMs == null || nowMs - lastMs > RELIEF_PAUSE_MS) {
+				this.relievedAtMs.put(domain, nowMs);
+				order(profile, placement);
+			}
+		}
+	}
+
+	private double usedPart(ModelProfile profile, Engine engine) {
+		UpstreamState state = this.router.directory().find(engine.id());
+		boolean holds = state != null && state.upstream().held() != null;
+		return holds ? this.router.chooser().usedPart(profile, engine.kind(), state, this.router.nowMs()) : 0;
 	}
 
 	private Set<String> unsettled(String service, List<Engine> engines) {
--- a/whinjunction-router/src/main/java/io/whinjunction/router/TargetChooser.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/TargetChooser.java
@@ -8,11 +8,13 @@
 import java.util.Set;
 import java.util.function.Predicate;
 
+import io.whinjunction.chain.Crowding;
 import io.whinjunction.chain.Engine;
 import io.whinjunction.chain.EngineKind;
 import io.whinjunction.chain.Hop;
 import io.whinjunction.chain.ModelProfile;
 import io.whinjunction.chain.PathFinder;
+import io.whinjunction.configuration.LayerRange;
 import io.whinjunction.routing.RoutedService;
 
 /**
@@ -29,22 +31,12 @@
 	 */
 	private static final double AVOIDED_MS = 200;
 
-	/** What an engine without room for the request costs, in milliseconds. */
-	private static final double FULL_MS = 100;
-
 	/**
 	 * What each usual time costs by which an engine is slower, in milliseconds: its
 	 * passes hold up all requests at it, not just the layers of this one.
 	 */
 	private static final double SLOW_MS = 3;
 
-	/**
-	 * What an engine whose room is all taken costs, in milliseconds; it grows with the
-	 * square of the part that is taken, so that load moves to another failure domain
-	 * before one is full.
-	 */
-	private static final double CROWDED_MS = 5;
-
 	private final UpstreamDirectory directory;
 
 	private final PeerTable peers;
@@ -133,7 +125,10 @@
 		List<PathFinder.Candidate> candidates = new ArrayList<>();
 		for (UpstreamState state : this.directory.staying(wish.service().name())) {
 			EngineKind kind = profile.kinds().get(state.upstream().kind());
-			if (state.upstream().held() != null && kind != null && !wish.tried().contains(state.upstream().id())) {
+			if (state.upstream().held() == null || kind == null || wish.tried().contains(state.upstream().id())) {
+				continue;
+			}
+			if (!wish.mustFit() || !full(profile, kind, state, nowMs)) {
 				candidates.add(candidate(profile, kind, state, wish.tokens(), nowMs));
 			}
 		}
@@ -145,16 +140,36 @@
 		Upstream upstream = state.upstream();
 		Engine engine = new Engine(upstream.id(), upstream.address(), upstream.failureDomain(), kind, upstream.held(),
 				false);
-		double penaltyMs = state.avoided(nowMs) ? AVOIDED_MS : 0;
 		int held = engine.heldLayers();
-		double room = profile.roomTokenLayers(kind, held);
-		double used = state.tokenLayers() + this.peers.tokenLayersAt(upstream.id(), nowMs);
-		double usedPart = (used + (double) tokens * held) / Math.max(1, room);
-		penaltyMs += (usedPart > 1) ? FULL_MS : CROWDED_MS * usedPart * usedPart;
-		double writing = used / Math.max(1, profile.usualTokens() * held);
+		double usedPart = usedPart(profile, kind, state, nowMs);
+		double room = Math.max(1, profile.roomTokens(kind, held));
+		double writing = usedPart * room / Math.max(1, profile.usualTokens());
 		double pace = Math.max(this.paces.getOrDefault(upstream.id(), 1.0), this.peers.paceOf(upstream.id(), nowMs));
-		return new PathFinder.Candidate(engine, pace * profile.layerStepMs(kind, writing),
-				penaltyMs + SLOW_MS * (pace - 1));
+		double crowdedMs = Crowding.costMs(usedPart + tokens / room);
+		double penaltyMs = (state.avoided(nowMs) ? AVOIDED_MS : 0) + SLOW_MS * (pace - 1);
+		return new PathFinder.Candidate(engine, pace * profile.layerStepMs(kind, writing) + crowdedMs / held,
+				penaltyMs);
+	}
+
+	private boolean full(ModelProfile profile, EngineKind kind, UpstreamState state, long nowMs) {
+		LayerRange held = state.upstream().held();
+		return Crowding.full(usedPart(profile, kind, state, nowMs),
+				profile.roomTokens(kind, held.end() - held.first()));
+	}
+
+	/**
+	 * The part of an engine's room that requests of all routers take up.
+	 * @param profile the model
+	 * @param kind the engine's kind
+	 * @param state the engine, which holds layers
+	 * @param nowMs the time
+	 * @return 0 where it is free, 1 and more where it is full
+	 */
+	double usedPart(ModelProfile profile, EngineKind kind, UpstreamState state, long nowMs) {
+		LayerRange held = state.upstream().held();
+		double room = profile.roomTokenLayers(kind, held.end() - held.first());
+		double used = state.tokenLayers() + this.peers.tokenLayersAt(state.upstream().id(), nowMs);
+		return used / Math.max(1, room);
 	}
 
 	private Target target(List<Hop> path) {
@@ -170,8 +185,9 @@
 	 * @param tried names of upstreams that made the request fail
 	 * @param onlyFirst names of the upstreams that it may be sent to; {@code null} for
 	 * any
+	 * @param mustFit whether it is rather turned away than sent to an engine that is full
 	 */
-	record Wish(RoutedService service, int tokens, Set<String> tried, Set<String> onlyFirst) {
+	record Wish(RoutedService service, int tokens, Set<String> tried, Set<String> onlyFirst, boolean mustFit) {
 	}
 
 }
