A stream given up within an event no longer leaves its beginning to the next engine

Cause: an engine stood still within an event, the attempt was given up for another one, and the bytes held back of the unfinished event were joined to the next engine's first event; only a broken connection dropped them. Ruled out: the engines' own bytes (the first run was cut by us at 22.571 s, the next began 1 ms later). The test stands still within an event and failed first.

--- a/whinjunction-router/src/main/java/io/whinjunction/router/Attempt.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/Attempt.java
@@ -267,6 +267,8 @@
 	void abandon() {
 		if (!this.ended) {
 			settle();
+			// What another attempt sends would be joined to an event that this one began.
+			this.session.events().dropPartial();
 			if (this.connection != null) {
 				this.connection.abandon();
 			}
