A stopping router refuses what it may have to cut

Ruled out: the platform sending on after two misses (it may, where no other process is left).

Test: aStoppingRouterRefusesWhatItMayHaveToCut failed first (504 after the upstream had seen the request, 503 wanted), passes now.

--- a/whinjunction-router/src/main/java/io/whinjunction/router/ForwardSession.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/ForwardSession.java
@@ -115,6 +115,10 @@
 
 	/** Judges the head; the first attempt waits for the body. */
 	void start() {
+		if (!this.router.servesRequests()) {
+			finish("refused", "stopping", Answer.refusal("this process stops", RETRY_ELSEWHERE_MS));
+			return;
+		}
 		RoutingConfiguration configuration = this.router.configuration();
 		if (configuration == null) {
 			finish("refused", "no-configuration", Answer.refusal("no configuration is known yet", RETRY_ELSEWHERE_MS));
--- a/whinjunction-router/src/main/java/io/whinjunction/router/Router.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/Router.java
@@ -111,7 +111,8 @@
 
 	private Channel callerListener;
 
-	private boolean stopping;
+	/** {@code null} until the process is told to stop. */
+	private StopSchedule stop;
 
 	/**
 	 * A router.
@@ -182,7 +183,7 @@
 	// Callers are let in when there is something to say to them: a request that came a
 	// tenth of a second sooner would only be refused.
 	private void listenWhenKnown() {
-		if (this.callerListener == null && !this.stopping && configuration() != null && this.directoryKeeper.listed()) {
+		if (this.callerListener == null && !stopping() && configuration() != null && this.directoryKeeper.listed()) {
 			this.callerListener = listen(this.settings.callers(), this::initializeCaller);
 			logger.atInfo()
 				.log("event=listening version=%d upstreams=%d", configuration().version(), this.directory.size());
@@ -213,7 +214,7 @@
 		return new PeerStatus(this.settings.name(), text(this.settings.peers()), this.settings.failureDomain(),
 				sequence, answer, version, (ageMs < this.settings.bounds().keysMs()) ? ageMs : -1,
 				this.watch.suspects(), this.directory.busiest(MOST_ENGINES_TOLD), this.peers.toTell(nowMs()),
-				this.stopping, this.layerKeeper.paces(), this.leadership.holds());
+				stopping(), this.layerKeeper.paces(), this.leadership.holds());
 	}
 
 	private void peerHeard(PeerStatus status) {
@@ -272,13 +273,13 @@
 	 */
 	public void stop(Runnable stopped) {
 		this.loop.execute(() -> {
-			if (this.stopping) {
+			if (stopping()) {
 				return;
 			}
-			this.stopping = true;
+			this.stop = new StopSchedule(nowMs(), this.settings.bounds().graceMs());
 			logger.atInfo().log("event=stopping callers=%d", this.callers.size());
 			this.leadership.stop();
-			new StopSequence(this, this.settings.bounds().graceMs(), this::stopListening, stopped).start();
+			new StopSequence(this, this.stop, this::stopListening, stopped).start();
 		});
 	}
 
@@ -288,7 +289,7 @@
 	}
 
 	private boolean ready() {
-		return !this.stopping && configuration() != null && this.directoryKeeper.listed()
+		return !stopping() && configuration() != null && this.directoryKeeper.listed()
 				&& this.proof.honoursKeys(this.boot.nowMs());
 	}
 
@@ -384,7 +385,12 @@
 
 	@Override
 	public boolean stopping() {
-		return this.stopping;
+		return this.stop != null;
+	}
+
+	@Override
+	public boolean servesRequests() {
+		return this.stop == null || this.stop.servesRequests(nowMs());
 	}
 
 	/**
--- a/whinjunction-router/src/main/java/io/whinjunction/router/RouterContext.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/RouterContext.java
@@ -91,6 +91,12 @@
 	 */
 	boolean stopping();
 
+	/**
+	 * Whether new requests are served.
+	 * @return {@code false} where this process stops and is too late for them
+	 */
+	boolean servesRequests();
+
 	/**
 	 * Notices engines that don't answer.
 	 * @return the watch
--- a/whinjunction-router/src/main/java/io/whinjunction/router/StopSequence.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/StopSequence.java
@@ -11,49 +11,38 @@
  * The failure it is there for: the balancer takes a process out only after two questions
  * that got no yes, and callers send on kept connections until they hear of the end. So
  * the process says at once that it is not ready, serves on, ends each connection with an
- * answer, then takes no more, and leaves when nothing is in progress or its grace is
- * nearly over. Confined to the event loop.
+ * answer, then refuses, then takes no more, and leaves when nothing is in progress or its
+ * grace is nearly over. Confined to the event loop.
  */
 final class StopSequence {
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-	/**
-	 * How long new requests are still served, in milliseconds: two questions of the
-	 * balancer a second apart, and a second for what was on its way.
-	 */
-	private static final long SERVE_ON_MS = 3300;
-
-	/** What is left of the grace for the process itself to end, in milliseconds. */
-	private static final long MARGIN_MS = 500;
-
+	/** The pause between two looks, in milliseconds: what a stop takes longer for it. */
 	private static final long LOOK_MS = 100;
 
 	private final RouterContext router;
 
-	private final long graceMs;
+	private final StopSchedule schedule;
 
 	private final Runnable stopAccepting;
 
 	private final Runnable stopped;
 
-	private final long sinceMs;
-
 	private boolean accepting = true;
 
 	/**
 	 * A sequence.
 	 * @param router what stops
-	 * @param graceMs how long it may take, in milliseconds
+	 * @param schedule when what ends
 	 * @param stopAccepting ends the listening for callers
 	 * @param stopped is run when the process may end
 	 */
-	StopSequence(RouterContext router, long graceMs, Runnable stopAccepting, Runnable stopped) {
+	StopSequence(RouterContext router, StopSchedule schedule, Runnable stopAccepting, Runnable stopped) {
 		this.router = router;
-		this.graceMs = graceMs;
+		this.schedule = schedule;
 		this.stopAccepting = stopAccepting;
 		this.stopped = stopped;
-		this.sinceMs = router.nowMs();
 	}
 
 	void start() {
@@ -61,13 +50,13 @@
 	}
 
 	private void look() {
-		long passedMs = this.router.nowMs() - this.sinceMs;
+		long nowMs = this.router.nowMs();
 		long busy = this.router.callers().stream().filter(CallerConnection::busy).count();
-		if (passedMs >= Math.min(SERVE_ON_MS, this.graceMs / 2)) {
+		if (!this.schedule.takesConnections(nowMs)) {
 			stopAcceptingOnce();
 			Set.copyOf(this.router.callers()).forEach(CallerConnection::closeIfIdle);
-			if (busy == 0 || passedMs >= this.graceMs - MARGIN_MS) {
-				logger.atInfo().log("event=stopped cut=%d took-ms=%d", busy, passedMs);
+			if (busy == 0 || this.schedule.over(nowMs)) {
+				logger.atInfo().log("event=stopped cut=%d took-ms=%d", busy, nowMs - this.schedule.sinceMs());
 				this.stopped.run();
 				return;
 			}
@@ -76,9 +65,6 @@
 	}
 
 	private void stopAcceptingOnce() {
-		// A balancer that has no other process to send to goes on with this one; what
-		// came
-		// in the last second of the grace was cut in the middle of its answer.
 		if (this.accepting) {
 			this.accepting = false;
 			this.stopAccepting.run();
