The plan of a failure domain is rated by a forecast of its chains

Cause: how often a model is held was rated by room over a fixed step time, without what tokens and prompts cost and how many requests an engine runs at once. Of 300 engines a failure domain used 20 in two replicas and left 280 empty. And the plan was rated anew four times a second: 1,589 ms for three failure domains of 522 engines, 1.3 s for 300 (one core, first compiler tier), on the loop that also serves callers.

Change: ChainForecast predicts the time of a token, of the first event and the highest rate from the published figures; further replicas are made of what the best division leaves over while a fifth stays empty; replicas of the same kinds are rated once; ReplicaCounts remembers how often layers should be held.

Tests: ChainForecastTests, aLargeFailureDomainHoldsManyReplicasAndKeepsAPartEmpty. A model whose engines publish no reading rate was planned nowhere at first; KeysAndStoppingTests showed it.

--- a/whinjunction-bench/src/main/java/io/whinjunction/bench/SlopeBench.java
+++ b/whinjunction-bench/src/main/java/io/whinjunction/bench/SlopeBench.java
@@ -45,6 +45,9 @@
 
 	private static final int[] TEAMS = { 10, 50, 110, 220 };
 
+	/** Runs between two looks at the clock, so that the look costs little. */
+	private static final int RUNS_BETWEEN_LOOKS = 4;
+
 	private static final int REGIONS = 4;
 
 	private static final List<LayerRange> RANGES = List.of(new LayerRange(0, 8), new LayerRange(8, 16),
@@ -175,15 +178,15 @@
 		return runFor(work, this.runMs);
 	}
 
-	private static double runFor(Runnable work, long durationMs) {
+	static double runFor(Runnable work, long durationMs) {
 		long startNs = System.nanoTime();
 		long endNs = startNs + durationMs * 1_000_000;
 		long runs = 0;
 		while (System.nanoTime() < endNs) {
-			for (int i = 0; i < 16; i++) {
+			for (int i = 0; i < RUNS_BETWEEN_LOOKS; i++) {
 				work.run();
 			}
-			runs += 16;
+			runs += RUNS_BETWEEN_LOOKS;
 		}
 		return (System.nanoTime() - startNs) / 1000.0 / runs;
 	}
--- a/whinjunction-bench/src/main/java/io/whinjunction/bench/SlopesCommand.java
+++ b/whinjunction-bench/src/main/java/io/whinjunction/bench/SlopesCommand.java
@@ -11,6 +11,7 @@
 	@Override
 	void measure(Report report) {
 		new SlopeBench(quick() ? 100 : 500).run(report);
+		new ChainSlopeBench(quick() ? 100 : 500).run(report);
 	}
 
 }
--- a/whinjunction-core/src/main/java/io/whinjunction/chain/LayerPlanner.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/chain/LayerPlanner.java
@@ -61,18 +61,28 @@
 	 * @return the placements to order, the most urgent first; each engine at most once
 	 */
 	public static List<Placement> plan(ModelProfile profile, List<Engine> engines) {
+		return plan(profile, engines, new ReplicaCounts());
+	}
+
+	/**
+	 * Plans the next orders, as {@link #plan(ModelProfile, List)}.
+	 * @param profile the model
+	 * @param engines all engines
+	 * @param wanted remembers from one plan to the next how often layers should be held
+	 * @return the placements to order, the most urgent first
+	 */
+	public static List<Placement> plan(ModelProfile profile, List<Engine> engines, ReplicaCounts wanted) {
 		Map<String, List<Engine>> byDomain = engines.stream()
 			.filter((engine) -> !engine.leaving())
 			.collect(Collectors.groupingBy(Engine::failureDomain, TreeMap::new, Collectors.toList()));
 		List<Placement> placements = new ArrayList<>();
 		for (List<Engine> ofDomain : byDomain.values()) {
-			DomainPlan wanted = DomainPlan.of(profile, ofDomain);
 			boolean allEmpty = ofDomain.stream().allMatch((engine) -> engine.held() == null);
 			if (allEmpty) {
-				placements.addAll(wanted.placements());
+				placements.addAll(DomainPlan.of(profile, ofDomain).placements());
 			}
 			else {
-				new Repair(profile, ofDomain, Math.max(1, wanted.replicas())).addTo(placements);
+				new Repair(profile, ofDomain, Math.max(1, wanted.of(profile, ofDomain))).addTo(placements);
 			}
 		}
 		return placements;
--- a/whinjunction-core/src/main/java/io/whinjunction/chain/ModelProfile.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/chain/ModelProfile.java
@@ -18,6 +18,7 @@
  * @param stepsPerPass steps that run between two rounds of admission
  * @param loadSeconds how long all layers take to load, in seconds
  * @param loadsAtOnce loads that run at full speed at the same time
+ * @param requestsAtOnce requests that an engine runs at the same time
  * @param transfer what moving activations costs
  * @param usualPromptTokens the mean prompt, in tokens
  * @param usualAnswerTokens the mean answer, in tokens
@@ -25,11 +26,13 @@
  */
 public record ModelProfile(String name, int layers, double layerMb, double kvBytesPerToken, double stepMs,
 		double stepPerSequenceMs, double stepPerThousandTokensMs, double readTokensPerSecond, int stepsPerPass,
-		double loadSeconds, int loadsAtOnce, Transfer transfer, int usualPromptTokens, int usualAnswerTokens,
-		Map<String, EngineKind> kinds) {
+		double loadSeconds, int loadsAtOnce, int requestsAtOnce, Transfer transfer, int usualPromptTokens,
+		int usualAnswerTokens, Map<String, EngineKind> kinds) {
 
 	private static final double BYTES_PER_MB = 1_000_000;
 
+	private static final double MS_PER_S = 1000;
+
 	public ModelProfile {
 		kinds = Map.copyOf(kinds);
 	}
@@ -88,6 +91,20 @@
 		return (this.stepMs + writing * perSequenceMs) * kind.stepFactor() / this.layers;
 	}
 
+	/**
+	 * Reading a prompt through some layers.
+	 * @param kind the engine's kind
+	 * @param held how many layers
+	 * @param tokens prompt tokens
+	 * @return milliseconds; 0 where the model's reading rate isn't published
+	 */
+	public double readMs(EngineKind kind, int held, double tokens) {
+		if (this.readTokensPerSecond <= 0) {
+			return 0;
+		}
+		return tokens * MS_PER_S / this.readTokensPerSecond * kind.readFactor() * held / this.layers;
+	}
+
 	/**
 	 * What moving activations between engines costs. Immutable.
 	 *
--- a/whinjunction-core/src/test/java/io/whinjunction/chain/LayerPlannerTests.java
+++ b/whinjunction-core/src/test/java/io/whinjunction/chain/LayerPlannerTests.java
@@ -29,6 +29,30 @@
 		assertThat(MixedCards.leastRoom(after)).isGreaterThan(100_000);
 	}
 
+	// A large failure domain serves like a small one: of 300 engines 20 held two
+	// replicas,
+	// the rest stood empty, and any loss hit half of its streams. Most engines must work,
+	// in many replicas, and a part stays empty for losses.
+	@Test
+	void aLargeFailureDomainHoldsManyReplicasAndKeepsAPartEmpty() {
+		List<Engine> engines = new ArrayList<>();
+		for (int index = 0; index < 20; index++) {
+			MixedCards.emptyDomain("a")
+				.forEach((engine) -> engines
+					.add(MixedCards.empty(engine.id() + "-" + engines.size(), "a", engine.kind())));
+		}
+
+		List<Engine> after = plan(engines);
+
+		assertThat(MixedCards.coverage(after)).satisfies((coverage) -> {
+			for (int times : coverage) {
+				assertThat(times).isBetween(12, 25);
+			}
+		});
+		long empty = after.stream().filter((engine) -> engine.held() == null).count();
+		assertThat(empty).isBetween(60L, 90L);
+	}
+
 	@Test
 	void theSamePlanIsMadeWhateverTheOrderOfEngines() {
 		List<Engine> engines = MixedCards.emptyDomain("a");
--- a/whinjunction-core/src/test/java/io/whinjunction/chain/MixedCards.java
+++ b/whinjunction-core/src/test/java/io/whinjunction/chain/MixedCards.java
@@ -19,7 +19,7 @@
 	static final EngineKind L4 = new EngineKind("l4", 21_600, 16, 8.2);
 
 	static final ModelProfile PROFILE = new ModelProfile("m", 80, 1750, 845_373, 1.02, 0.0066, 0.0088, 164_000, 4, 14,
-			6, new ModelProfile.Transfer(42_268, 13_000), 775, 216, Map.of("a100", A100, "v100", V100, "l4", L4));
+			6, 134, new ModelProfile.Transfer(42_268, 13_000), 775, 216, Map.of("a100", A100, "v100", V100, "l4", L4));
 
 	private MixedCards() {
 	}
--- a/whinjunction-router/src/main/java/io/whinjunction/router/LayerKeeper.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/LayerKeeper.java
@@ -16,6 +16,7 @@
 import io.whinjunction.chain.LayerPlanner;
 import io.whinjunction.chain.ModelProfile;
 import io.whinjunction.chain.Placement;
+import io.whinjunction.chain.ReplicaCounts;
 import io.whinjunction.configuration.LayerRange;
 import io.whinjunction.routing.RoutedService;
 import io.whinjunction.routing.RoutingConfiguration;
@@ -71,6 +72,8 @@
 
 	private final Leadership leadership;
 
+	private final ReplicaCounts replicaCounts = new ReplicaCounts();
+
 	private final Map<String, Ordered> ordered = new HashMap<>();
 
 	private final Map<String, Long> relievedAtMs = new HashMap<>();
@@ -158,7 +161,7 @@
 			}
 		}
 		Set<String> unsettled = unsettled(service.name(), state);
-		List<Placement> repairs = LayerPlanner.plan(profile, state);
+		List<Placement> repairs = LayerPlanner.plan(profile, state, this.replicaCounts);
 		for (Placement placement : repairs) {
 			if (!unsettled.contains(placement.engine().failureDomain())) {
 				order(profile, placement);
