Streams that stand still together have their engines asked sooner

An engine was asked when one stream had been late for three of its gaps, and counted as silent 80 ms later.

Change: StallRules has engines asked over which three streams or more are late by 1.8 gaps and none goes on; an engine that is silent for 40 ms while most that were asked with it answered is suspect; the second question follows after 120 ms instead of 400; streams go on elsewhere in the order of their prompts.

Ruled out: the list of stalled requests in the first engine's report (it names the silent engine only 300 ms later, when the streams have gone on).

Tests: StallRulesTests replays the death under eight streams.

--- a/whinjunction-router/src/main/java/io/whinjunction/router/Attempt.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/Attempt.java
@@ -201,7 +201,19 @@
 	 * @return milliseconds; very large before the first event, when the prompt is read
 	 */
 	double usualGapMs() {
-		return (this.pieces > 1) ? (double) (this.progressAtMs - this.firstAtMs) / (this.pieces - 1) : Double.MAX_VALUE;
+		return gapsKnown() ? (double) (this.progressAtMs - this.firstAtMs) / (this.pieces - 1) : Double.MAX_VALUE;
+	}
+
+	/**
+	 * Whether enough events came to tell the pause between them.
+	 * @return whether {@link #usualGapMs()} is a measured one
+	 */
+	boolean gapsKnown() {
+		return this.pieces > 1;
+	}
+
+	int promptTokens() {
+		return this.session.request().promptTokens();
 	}
 
 	/**
--- a/whinjunction-router/src/main/java/io/whinjunction/router/EngineWatch.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/EngineWatch.java
@@ -1,8 +1,10 @@
 package io.whinjunction.router;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -17,35 +19,38 @@
  * <p>
  * The failure it is there for: an engine in the middle of a path dies, every stream over
  * it stands still for seconds, and the list shows it only after its heartbeats are
- * missed. A stream without progress for a few usual gaps has all engines of its path
- * asked; one that doesn't answer, or no longer holds its layers, is left alone by all
- * routers, and the streams that wait for it go on elsewhere.
+ * missed. Engines whose streams stand still ({@link StallRules}) are asked; one that
+ * doesn't answer, or no longer holds its layers, is left alone by all routers, and the
+ * streams that wait for it go on elsewhere.
  * <p>
- * Invariant: an engine is asked at most once each {@link #PROBE_PAUSE_MS}, so that a slow
- * fleet isn't slowed by questions. Confined to the event loop.
+ * Invariant: an engine is asked at most once each {@link #ASK_PAUSE_MS}, and while it is
+ * suspect each {@link #SUSPECT_PAUSE_MS}, so that a slow fleet isn't slowed by questions.
+ * Confined to the event loop.
  */
 final class EngineWatch {
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-	private static final long PERIOD_MS = 40;
+	/** The pause between two looks, in milliseconds: a tenth of a promised pause. */
+	private static final long PERIOD_MS = 25;
+
+	/** An engine answers in a few milliseconds; in this time even a slowed one does. */
+	private static final long ANSWER_MS = 80;
 
 	/**
-	 * A stream without an event for this many of its usual gaps is looked into. At 110 ms
-	 * for all streams, a day of high load had 27,942 questions; at three gaps, 5,514.
+	 * An engine that is silent for this long, in milliseconds, when most of those that
+	 * were asked with it have answered, is taken for silent: it is not this router that
+	 * is slow.
 	 */
-	private static final double STALL_GAPS = 3;
-
-	/** Never sooner than this, in milliseconds: a pass of the slowest engines. */
-	private static final long LEAST_STALL_MS = 110;
-
-	/** Always by then, in milliseconds: callers are promised pauses under 250. */
-	private static final long MOST_STALL_MS = 400;
+	private static final long ANSWER_BESIDE_OTHERS_MS = 40;
 
-	/** An engine answers in a few milliseconds; in this time even a slowed one does. */
-	private static final long PROBE_MS = 80;
+	private static final long ASK_PAUSE_MS = 400;
 
-	private static final long PROBE_PAUSE_MS = 400;
+	/**
+	 * The pause before a suspect engine is asked again, in milliseconds: the second
+	 * silence has its layers loaded elsewhere, which takes most of a second.
+	 */
+	private static final long SUSPECT_PAUSE_MS = 120;
 
 	/** How long an engine is left alone after each question that it did not answer. */
 	private static final long AVOID_MS = 1500;
@@ -108,11 +113,7 @@
 	 */
 	List<String> suspects() {
 		List<String> addresses = new ArrayList<>();
-		this.suspicions.values().forEach((suspicion) -> {
-			if (suspicion.unanswered > 0) {
-				addresses.add(suspicion.upstream.address());
-			}
-		});
+		this.suspicions.values().forEach((suspicion) -> addresses.add(suspicion.upstream.address()));
 		return addresses;
 	}
 
@@ -124,66 +125,83 @@
 		UpstreamState state = this.router.directory().findByAddress(address);
 		if (state != null && state.upstream().held() != null) {
 			state.avoidUntil(this.router.nowMs() + HEARSAY_MS);
-			ask(state.upstream());
+			new Round().ask(state.upstream());
 		}
 	}
 
 	private void look() {
-		long nowMs = this.router.nowMs();
-		for (Attempt stream : List.copyOf(this.streams)) {
-			double stallMs = Math.clamp(STALL_GAPS * stream.usualGapMs(), LEAST_STALL_MS, MOST_STALL_MS);
-			if (nowMs - stream.progressAtMs() > stallMs) {
-				lookInto(stream);
-			}
+		if (this.streams.isEmpty() && this.suspicions.isEmpty()) {
+			return;
 		}
+		Map<Attempt, StallRules.Pause> pauses = pauses();
+		moveFromSuspects(pauses);
+		Round round = new Round();
+		StallRules.standing(pauses.values()).forEach(round::ask);
+		pauses.forEach((stream, pause) -> {
+			if (StallRules.late(pause)) {
+				lookInto(stream, pause, round);
+			}
+		});
 		for (Suspicion suspicion : List.copyOf(this.suspicions.values())) {
 			if (this.router.directory().find(suspicion.upstream.id()) == null) {
 				this.suspicions.remove(suspicion.upstream.id());
 			}
 			else {
-				ask(suspicion.upstream);
+				round.ask(suspicion.upstream);
 			}
 		}
 	}
 
-	private void lookInto(Attempt stream) {
-		for (Hop hop : stream.target().path()) {
-			String id = hop.engine().id();
-			UpstreamState state = this.router.directory().find(id);
-			Suspicion suspicion = this.suspicions.get(id);
-			if (state == null || (suspicion != null && suspicion.unanswered > 0)) {
-				stream.stalled(hop.engine().address());
-				return;
-			}
+	private Map<Attempt, StallRules.Pause> pauses() {
+		long nowMs = this.router.nowMs();
+		// The shortest prompts first: a stream that goes on elsewhere has its prompt read
+		// anew there, one after the other, and so most of them go on within the pause
+		// that
+		// callers are promised.
+		List<Attempt> ordered = new ArrayList<>(this.streams);
+		ordered.sort(Comparator.comparingInt(Attempt::promptTokens));
+		Map<Attempt, StallRules.Pause> pauses = new LinkedHashMap<>();
+		for (Attempt stream : ordered) {
+			List<String> ids = stream.target().path().stream().map((hop) -> hop.engine().id()).toList();
+			pauses.put(stream,
+					new StallRules.Pause(ids, stream.gapsKnown(), stream.usualGapMs(), nowMs - stream.progressAtMs()));
 		}
-		for (Hop hop : stream.target().path()) {
-			UpstreamState state = this.router.directory().find(hop.engine().id());
-			if (state != null) {
-				ask(state.upstream());
-			}
+		return pauses;
+	}
+
+	private void moveFromSuspects(Map<Attempt, StallRules.Pause> pauses) {
+		if (!this.suspicions.isEmpty()) {
+			pauses.forEach((stream, pause) -> {
+				if (StallRules.waits(pause)) {
+					suspectOf(stream).ifPresent(stream::stalled);
+				}
+			});
 		}
 	}
 
-	private void ask(Upstream upstream) {
-		long nowMs = this.router.nowMs();
-		Long askedMs = this.askedAtMs.get(upstream.id());
-		if (askedMs != null && nowMs - askedMs < PROBE_PAUSE_MS) {
-			return;
+	private Optional<String> suspectOf(Attempt stream) {
+		return stream.target()
+			.path()
+			.stream()
+			.filter((hop) -> this.suspicions.containsKey(hop.engine().id()))
+			.map((hop) -> hop.engine().address())
+			.findFirst();
+	}
+
+	private void lookInto(Attempt stream, StallRules.Pause pause, Round round) {
+		for (Hop hop : stream.target().path()) {
+			if (this.router.directory().find(hop.engine().id()) == null) {
+				stream.stalled(hop.engine().address());
+				return;
+			}
 		}
-		this.askedAtMs.put(upstream.id(), nowMs);
-		this.askedAtMs.values().removeIf((atMs) -> nowMs - atMs > 10 * PROBE_PAUSE_MS);
-		this.engines.report(upstream.address(), PROBE_MS, (report) -> take(upstream, report));
+		pause.engineIds().forEach(round::ask);
 	}
 
-	private void take(Upstream upstream, Optional<EngineReport> report) {
+	private void silent(Upstream upstream, boolean answered) {
 		UpstreamState state = this.router.directory().find(upstream.id());
-		boolean holds = report.isPresent() && (report.get().held() != null || report.get().loading());
-		if (holds || state == null) {
-			Suspicion cleared = this.suspicions.remove(upstream.id());
-			if (cleared != null && state != null) {
-				state.avoidUntil(Long.MIN_VALUE);
-				logger.atInfo().log("event=engine-regained engine=%s address=%s", upstream.id(), upstream.address());
-			}
+		if (state == null) {
+			this.suspicions.remove(upstream.id());
 			return;
 		}
 		Suspicion suspicion = this.suspicions.computeIfAbsent(upstream.id(), (id) -> new Suspicion(upstream));
@@ -192,13 +210,75 @@
 		if (suspicion.unanswered <= LOST_AFTER) {
 			logger.atWarning()
 				.log("event=engine-suspect engine=%s address=%s unanswered=%d answered=%s", upstream.id(),
-						upstream.address(), suspicion.unanswered, report.isPresent());
+						upstream.address(), suspicion.unanswered, answered);
 			this.news.run();
-			look();
+			moveFromSuspects(pauses());
+		}
+	}
+
+	private void works(Upstream upstream) {
+		UpstreamState state = this.router.directory().find(upstream.id());
+		Suspicion cleared = this.suspicions.remove(upstream.id());
+		if (cleared != null && state != null) {
+			state.avoidUntil(Long.MIN_VALUE);
+			logger.atInfo().log("event=engine-regained engine=%s address=%s", upstream.id(), upstream.address());
+		}
+	}
+
+	/** Engines that are asked at the same moment; confined to the event loop. */
+	private final class Round {
+
+		private final Map<String, Upstream> waiting = new HashMap<>();
+
+		private int answers;
+
+		void ask(String engineId) {
+			UpstreamState state = EngineWatch.this.router.directory().find(engineId);
+			if (state != null) {
+				ask(state.upstream());
+			}
+		}
+
+		void ask(Upstream upstream) {
+			long nowMs = EngineWatch.this.router.nowMs();
+			Suspicion suspicion = EngineWatch.this.suspicions.get(upstream.id());
+			boolean urgent = suspicion != null && suspicion.unanswered < LOST_AFTER;
+			Long askedMs = EngineWatch.this.askedAtMs.get(upstream.id());
+			if (askedMs != null && nowMs - askedMs < (urgent ? SUSPECT_PAUSE_MS : ASK_PAUSE_MS)) {
+				return;
+			}
+			EngineWatch.this.askedAtMs.put(upstream.id(), nowMs);
+			EngineWatch.this.askedAtMs.values().removeIf((atMs) -> nowMs - atMs > 10 * ASK_PAUSE_MS);
+			if (this.waiting.isEmpty()) {
+				EngineWatch.this.router.loop().schedule(this::judge, ANSWER_BESIDE_OTHERS_MS, TimeUnit.MILLISECONDS);
+			}
+			this.waiting.put(upstream.id(), upstream);
+			EngineWatch.this.engines.report(upstream.address(), ANSWER_MS, (report) -> take(upstream, report));
 		}
+
+		private void take(Upstream upstream, Optional<EngineReport> report) {
+			boolean open = this.waiting.remove(upstream.id()) != null;
+			boolean holds = report.isPresent() && (report.get().held() != null || report.get().loading());
+			this.answers += report.isPresent() ? 1 : 0;
+			if (holds) {
+				works(upstream);
+			}
+			else if (open || report.isPresent()) {
+				silent(upstream, report.isPresent());
+			}
+		}
+
+		private void judge() {
+			if (this.answers > this.waiting.size()) {
+				List<Upstream> silent = List.copyOf(this.waiting.values());
+				this.waiting.clear();
+				silent.forEach((upstream) -> silent(upstream, false));
+			}
+		}
+
 	}
 
-	/** An engine that is looked into; confined to the watch. */
+	/** An engine that did not answer; confined to the watch. */
 	private static final class Suspicion {
 
 		private final Upstream upstream;
--- /dev/null
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/StallRules.java
@@ -0,0 +1,118 @@
+package io.whinjunction.router;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * When streams that stand still are a reason to ask engines, or to go on elsewhere.
+ * <p>
+ * The load it answers: an engine in the middle of a path dies, and all streams over it
+ * stop between two events. One late event says little, since a long prompt at any engine
+ * delays it; several streams that are late at once, with none that goes on, have an
+ * engine in common that doesn't work. Asking then, and not after three gaps of a single
+ * stream, notices a loss about 60 ms sooner. Stateless.
+ */
+final class StallRules {
+
+	/**
+	 * A stream alone is late after this many of its usual gaps. At 110 ms for all
+	 * streams, a day of high load had 27,942 questions; at three gaps, 5,514.
+	 */
+	private static final double ALONE_GAPS = 3;
+
+	/** Never sooner than this, in milliseconds: a pass of the slowest engines. */
+	private static final double LEAST_ALONE_MS = 110;
+
+	/** Always by then, in milliseconds: callers are promised pauses under 250. */
+	private static final double MOST_ALONE_MS = 400;
+
+	/**
+	 * Streams together are late after this many usual gaps: half of all streams of a calm
+	 * day have a longest gap of less.
+	 */
+	private static final double TOGETHER_GAPS = 1.8;
+
+	private static final double LEAST_TOGETHER_MS = 60;
+
+	private static final double MOST_TOGETHER_MS = 250;
+
+	/** Fewer streams than this don't make each other's lateness a sign. */
+	private static final int LEAST_TOGETHER = 3;
+
+	/** A stream over a silent engine goes on elsewhere after this many usual gaps. */
+	private static final double MOVE_GAPS = 1.2;
+
+	private static final double LEAST_MOVE_MS = 50;
+
+	private static final double MOST_MOVE_MS = 150;
+
+	private StallRules() {
+	}
+
+	/**
+	 * Whether a stream alone is a reason to ask all engines of its path.
+	 * @param pause the stream's pause
+	 * @return whether it is late by itself
+	 */
+	static boolean late(Pause pause) {
+		return pause.quietMs() > Math.clamp(ALONE_GAPS * pause.usualGapMs(), LEAST_ALONE_MS, MOST_ALONE_MS);
+	}
+
+	/**
+	 * Whether a stream over an engine that was found silent goes on elsewhere: the engine
+	 * may have been found silent by mistake, and a stream that still gets events stays.
+	 * @param pause the stream's pause
+	 * @return whether it waits for the engine
+	 */
+	static boolean waits(Pause pause) {
+		return pause.quietMs() > Math.clamp(MOVE_GAPS * pause.usualGapMs(), LEAST_MOVE_MS, MOST_MOVE_MS);
+	}
+
+	/**
+	 * Engines over which no stream goes on.
+	 * @param pauses the pauses of all streams
+	 * @return the engines' names
+	 */
+	static Set<String> standing(Collection<Pause> pauses) {
+		Map<String, Integer> late = new HashMap<>();
+		Set<String> moving = new HashSet<>();
+		for (Pause pause : pauses) {
+			if (!pause.begun()) {
+				continue;
+			}
+			if (lateTogether(pause)) {
+				pause.engineIds().forEach((id) -> late.merge(id, 1, Integer::sum));
+			}
+			else {
+				moving.addAll(pause.engineIds());
+			}
+		}
+		Set<String> standing = new HashSet<>();
+		late.forEach((id, count) -> {
+			if (count >= LEAST_TOGETHER && !moving.contains(id)) {
+				standing.add(id);
+			}
+		});
+		return standing;
+	}
+
+	private static boolean lateTogether(Pause pause) {
+		return pause.quietMs() > Math.clamp(TOGETHER_GAPS * pause.usualGapMs(), LEAST_TOGETHER_MS, MOST_TOGETHER_MS);
+	}
+
+	/**
+	 * How long nothing has come of a stream. Immutable.
+	 *
+	 * @param engineIds the engines of its path
+	 * @param begun whether its gaps are known
+	 * @param usualGapMs the mean time between its events; very large before the second
+	 * @param quietMs the time since its last event, or since it was sent
+	 */
+	record Pause(List<String> engineIds, boolean begun, double usualGapMs, long quietMs) {
+	}
+
+}
--- /dev/null
+++ b/whinjunction-router/src/test/java/io/whinjunction/router/StallRulesTests.java
@@ -0,0 +1,87 @@
+package io.whinjunction.router;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import io.whinjunction.router.StallRules.Pause;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * When streams that stand still have engines asked.
+ */
+class StallRulesTests {
+
+	private static final double GAP_MS = 46;
+
+	// Callers see a pause of 280 to 460 ms where 250 are promised: an engine of a path
+	// dies,
+	// eight streams over it stop, each somewhere between two events, and nobody is asked
+	// until one of them has been late for three gaps. Together they are a sign 55 ms
+	// sooner.
+	@Test
+	void aDeadEngineIsAskedAsSoonAsAllItsStreamsAreLate() {
+		assertThat(firstAskedMs(true)).isBetween(80L, 90L);
+		assertThat(firstAskedMs(false)).isGreaterThan(135L);
+	}
+
+	private static long firstAskedMs(boolean together) {
+		for (long sinceDeathMs = 0; sinceDeathMs < 1000; sinceDeathMs++) {
+			List<Pause> pauses = new ArrayList<>();
+			for (int stream = 0; stream < 8; stream++) {
+				// The last event came up to one gap before the death; the first stream
+				// had its
+				// event just then.
+				pauses.add(pause(sinceDeathMs + (long) (stream * GAP_MS / 8), "first", "dead"));
+			}
+			boolean asked = together ? StallRules.standing(pauses).contains("dead")
+					: StallRules.late(pauses.getFirst());
+			if (asked) {
+				return sinceDeathMs;
+			}
+		}
+		return Long.MAX_VALUE;
+	}
+
+	// A long prompt delays some streams of a path, others go on: nobody is asked.
+	@Test
+	void anEngineThatMovesOneStreamIsNotAsked() {
+		List<Pause> pauses = List.of(pause(120, "a"), pause(120, "a"), pause(120, "a"), pause(20, "a"));
+
+		assertThat(StallRules.standing(pauses)).isEmpty();
+	}
+
+	@Test
+	void anEngineOfTheSamePathThatMovesOtherStreamsIsLeftOut() {
+		List<Pause> pauses = List.of(pause(120, "dead", "lives"), pause(120, "dead", "lives"),
+				pause(120, "dead", "lives"), pause(10, "lives", "other"));
+
+		assertThat(StallRules.standing(pauses)).containsExactly("dead");
+	}
+
+	@Test
+	void twoLateStreamsAreNoSignYet() {
+		assertThat(StallRules.standing(List.of(pause(120, "a"), pause(120, "a")))).isEmpty();
+	}
+
+	@Test
+	void aStreamWithoutEventsSaysNothing() {
+		Pause reading = new Pause(List.of("a"), false, Double.MAX_VALUE, 300);
+
+		assertThat(StallRules.standing(List.of(reading, reading, reading))).isEmpty();
+		assertThat(StallRules.late(reading)).isFalse();
+		assertThat(StallRules.waits(reading)).isTrue();
+	}
+
+	@Test
+	void aStreamThatStillGetsEventsStaysWhereItIs() {
+		assertThat(StallRules.waits(pause(40, "a"))).isFalse();
+		assertThat(StallRules.waits(pause(80, "a"))).isTrue();
+	}
+
+	private static Pause pause(long quietMs, String... engines) {
+		return new Pause(List.of(engines), true, GAP_MS, quietMs);
+	}
+
+}
