Requests wait for room where their turn comes in time, and are refused at once where it doesn't

A caller that is refused comes back once; 52 were never served.

Ruled out: holding every request (a refusal that comes late helps nobody), and sending to engines that are full (their newest streams are put back for seconds).

--- a/whinjunction-router/src/main/java/io/whinjunction/router/Router.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/Router.java
@@ -89,6 +89,8 @@
 
 	private final EngineWatch watch;
 
+	private final RoomWaiters roomWaiters = new RoomWaiters(this);
+
 	private final FleetStore store;
 
 	private final EngineControl engines;
@@ -368,6 +370,11 @@
 		return this.engines;
 	}
 
+	@Override
+	public RoomWaiters roomWaiters() {
+		return this.roomWaiters;
+	}
+
 	@Override
 	public EngineWatch watch() {
 		return this.watch;
--- a/whinjunction-router/src/main/java/io/whinjunction/router/RouterContext.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/RouterContext.java
@@ -97,6 +97,12 @@
 	 */
 	boolean servesRequests();
 
+	/**
+	 * Sessions that wait for room at engines.
+	 * @return the waiters
+	 */
+	RoomWaiters roomWaiters();
+
 	/**
 	 * Notices engines that don't answer.
 	 * @return the watch
