--- a/whinjunction-bench/src/main/java/io/whinjunction/bench/BenchMain.java
+++ b/whinjunction-bench/src/main/java/io/whinjunction/bench/BenchMain.java
@@ -10,7 +10,7 @@
  */
 @Cli(name = "whin-bench", description = "Measures whinjunction against its own baselines", defaultCommand = Help.class,
 		commands = { Help.class, ProbeCommand.class, ThroughputCommand.class, SlopesCommand.class, SpreadCommand.class,
-				RecoveryCommand.class, OverloadCommand.class, PlotCommand.class })
+				RecoveryCommand.class, OverloadCommand.class, ChainsCommand.class, PlotCommand.class })
 public final class BenchMain {
 
 	private static final int USAGE = 2;
--- /dev/null
+++ b/whinjunction-bench/src/main/java/io/whinjunction/bench/ChainEmulator.java
@@ -0,0 +1,546 @@
+package io.whinjunction.bench;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Random;
+
+import io.whinjunction.chain.Engine;
+import io.whinjunction.chain.Hop;
+import io.whinjunction.chain.PathCosts;
+import io.whinjunction.chain.Placement;
+
+/**
+ * Engines, streams and routers in virtual time, by the engines' published figures: what
+ * came during one pass is served by the next; a pass takes its layers' fixed time and
+ * more for each token and prompt; an engine that has no room puts a request back.
+ * <p>
+ * Invariant: the same seed gives the same run. Confined to one thread.
+ */
+final class ChainEmulator {
+
+	private static final double HOP_MS = 0.2;
+
+	/** From a death to the moment at which streams go on elsewhere, in milliseconds. */
+	private static final double NOTICE_MS = 180;
+
+	/** From a death to the orders that repair it, in milliseconds. */
+	private static final double ORDER_MS = 350;
+
+	private static final double FIRST_EVENT_AIM_MS = 500;
+
+	private static final double PAUSE_AIM_MS = 250;
+
+	/** Callers leave a stream after a pause of this length, in milliseconds. */
+	private static final double PATIENCE_MS = 2000;
+
+	private static final int TOKENS_PER_EVENT = 4;
+
+	private static final int CHUNK_TOKENS = 512;
+
+	private final ChainPolicy policy;
+
+	private final Scenario scenario;
+
+	private final Random random;
+
+	private final PriorityQueue<Event> events = new PriorityQueue<>();
+
+	private final Map<String, Station> stations = new HashMap<>();
+
+	private final List<Stream> streams = new ArrayList<>();
+
+	/** Room that was taken when routers last heard of each other, by engine. */
+	private Map<String, Double> known = Map.of();
+
+	private List<Engine> holders;
+
+	private double knownAtMs = Double.NEGATIVE_INFINITY;
+
+	private double nowMs;
+
+	private long order;
+
+	ChainEmulator(ChainPolicy policy, List<Engine> empty, Scenario scenario) {
+		this.policy = policy;
+		this.scenario = scenario;
+		this.random = new Random(scenario.seed());
+		Map<String, Placement> placements = new HashMap<>();
+		policy.place(empty).forEach((placement) -> placements.put(placement.engine().id(), placement));
+		for (Engine engine : empty) {
+			Placement placement = placements.get(engine.id());
+			this.stations.put(engine.id(), new Station((placement != null) ? holding(engine, placement) : engine));
+		}
+	}
+
+	private static Engine holding(Engine engine, Placement placement) {
+		return new Engine(engine.id(), engine.address(), engine.failureDomain(), engine.kind(), placement.layers(),
+				false);
+	}
+
+	/**
+	 * Plays the scenario.
+	 * @return what callers saw
+	 */
+	Result run() {
+		for (double atMs = 0; atMs < this.scenario.lengthMs(); atMs += gapMs(atMs)) {
+			at(atMs, this::arrive);
+		}
+		if (this.scenario.deaths() > 0) {
+			at(this.scenario.lengthMs() / 3, this::kill);
+		}
+		if (this.scenario.slowed() > 0) {
+			at(this.scenario.lengthMs() / 3, this::slow);
+		}
+		while (!this.events.isEmpty()) {
+			Event event = this.events.poll();
+			this.nowMs = event.atMs();
+			event.action().run();
+		}
+		return result();
+	}
+
+	private double gapMs(double atMs) {
+		boolean burst = atMs > this.scenario.lengthMs() / 2 && atMs < this.scenario.lengthMs() * 2 / 3;
+		double rate = this.scenario.requestsPerSecond() * (burst ? this.scenario.burst() : 1);
+		return -Math.log(1 - this.random.nextDouble()) * 1000 / rate;
+	}
+
+	private void at(double atMs, Runnable action) {
+		this.events.add(new Event(atMs, this.order++, action));
+	}
+
+	private void arrive() {
+		int prompt = (int) Math.clamp(-Math.log(1 - this.random.nextDouble()) * 775, 20, 2280);
+		int answer = (int) Math.clamp(-Math.log(1 - this.random.nextDouble()) * 216, 8, 640);
+		Stream stream = new Stream("d" + this.random.nextInt(this.scenario.domains()),
+				this.random.nextInt(this.scenario.routers()), prompt, answer, this.nowMs);
+		this.streams.add(stream);
+		send(stream);
+	}
+
+	private void send(Stream stream) {
+		Optional<List<Hop>> path = choose(stream);
+		if (path.isPresent() && !fits(stream, path.get())) {
+			// An engine without room says so, and the router looks again.
+			this.knownAtMs = Double.NEGATIVE_INFINITY;
+			path = choose(stream);
+		}
+		if (path.isEmpty() || !fits(stream, path.get())) {
+			stream.failed = true;
+			return;
+		}
+		stream.begin(path.get());
+		path.get().forEach((hop) -> station(hop).reserve(stream, hop));
+		arriveAt(stream, stream.run, 0);
+	}
+
+	private Optional<List<Hop>> choose(Stream stream) {
+		List<Engine> holders = holders();
+		return this.policy.path(holders, loads(holders, stream.router), stream.domain, stream.tokens());
+	}
+
+	private boolean fits(Stream stream, List<Hop> path) {
+		return path.stream().allMatch((hop) -> station(hop).fits(stream, hop));
+	}
+
+	private List<Engine> holders() {
+		if (this.holders == null) {
+			this.holders = this.stations.values()
+				.stream()
+				.filter((station) -> !station.noticedDead && station.engine.held() != null)
+				.map((station) -> station.engine)
+				.sorted(Comparator.comparing(Engine::id))
+				.toList();
+		}
+		return this.holders;
+	}
+
+	// A router knows its own requests at once and the others' as of their last words; of
+	// prompts that wait it knows its own only, and takes the others' for alike.
+	private Map<String, PathCosts.Load> loads(List<Engine> holders, int router) {
+		boolean allKnown = holders.stream().allMatch((engine) -> this.known.containsKey(engine.id()));
+		if (!allKnown || this.nowMs - this.knownAtMs >= this.scenario.lagMs()) {
+			this.known = new HashMap<>();
+			this.knownAtMs = this.nowMs;
+			holders.forEach((engine) -> this.known.put(engine.id(), this.stations.get(engine.id()).tell()));
+		}
+		Map<String, PathCosts.Load> loads = new HashMap<>();
+		for (Engine engine : holders) {
+			loads.put(engine.id(), this.stations.get(engine.id()).load(this.known.get(engine.id()), router));
+		}
+		return loads;
+	}
+
+	private Station station(Hop hop) {
+		return this.stations.get(hop.engine().id());
+	}
+
+	private void arriveAt(Stream stream, int run, int hop) {
+		if (stream.run != run || stream.failed) {
+			return;
+		}
+		station(stream.path.get(hop)).enqueue(new Work(stream, run, hop));
+	}
+
+	private void passed(Work work) {
+		Stream stream = work.stream();
+		if (stream.run != work.run() || stream.failed) {
+			return;
+		}
+		int next = work.hop() + 1;
+		if (next < stream.path.size()) {
+			at(this.nowMs + HOP_MS, () -> arriveAt(stream, work.run(), next));
+			return;
+		}
+		stream.token(this.nowMs);
+		if (stream.left > 0) {
+			at(this.nowMs + HOP_MS, () -> arriveAt(stream, work.run(), 0));
+		}
+		else {
+			release(stream);
+		}
+	}
+
+	private void release(Stream stream) {
+		stream.path.forEach((hop) -> station(hop).free(stream, hop));
+	}
+
+	private void kill() {
+		List<Station> holding = this.stations.values()
+			.stream()
+			.filter((station) -> station.engine.held() != null)
+			.sorted(Comparator.comparing((station) -> station.engine.id()))
+			.toList();
+		for (int count = 0; count < this.scenario.deaths(); count++) {
+			Station station = holding.get(this.random.nextInt(holding.size()));
+			station.dead = true;
+			at(this.nowMs + NOTICE_MS, () -> noticed(station));
+		}
+		at(this.nowMs + ORDER_MS, this::repair);
+	}
+
+	private void slow() {
+		this.stations.values()
+			.stream()
+			.filter((station) -> station.engine.held() != null)
+			.sorted(Comparator.comparing((station) -> station.engine.id()))
+			.limit(this.scenario.slowed())
+			.forEach((station) -> station.pace = 5);
+	}
+
+	private void noticed(Station station) {
+		station.noticedDead = true;
+		this.holders = null;
+		for (Stream stream : this.streams) {
+			boolean waits = stream.left > 0 && !stream.failed
+					&& stream.path.stream().anyMatch((hop) -> station(hop) == station);
+			if (waits && !(this.policy instanceof ChainPolicy.OneReplica)) {
+				release(stream);
+				send(stream);
+			}
+		}
+	}
+
+	private void repair() {
+		List<Engine> living = this.stations.values()
+			.stream()
+			.filter((station) -> !station.dead)
+			.map((station) -> station.engine)
+			.toList();
+		for (Placement placement : this.policy.repair(living)) {
+			Station station = this.stations.get(placement.engine().id());
+			int added = placement.layers().end() - placement.layers().first() - station.engine.heldLayers();
+			double loadMs = ChainFleet.MODEL.loadSeconds() * 1000 * added / ChainFleet.MODEL.layers();
+			at(this.nowMs + loadMs, () -> {
+				station.engine = holding(station.engine, placement);
+				this.holders = null;
+			});
+		}
+	}
+
+	private Result result() {
+		Result result = new Result();
+		this.streams.forEach(result::add);
+		return result;
+	}
+
+	/**
+	 * A scenario. Immutable.
+	 *
+	 * @param domains failure domains
+	 * @param routers routers that choose alone
+	 * @param requestsPerSecond requests a second in all
+	 * @param burst how many times more come in the fourth sixth of it
+	 * @param deaths engines that die after a third of it
+	 * @param slowed engines that work five times slower from then on
+	 * @param lagMs how old at most is what routers know of loads, in milliseconds
+	 * @param lengthMs how long requests come, in milliseconds
+	 * @param seed the source of chance
+	 */
+	record Scenario(int domains, int routers, double requestsPerSecond, double burst, int deaths, int slowed,
+			double lagMs, double lengthMs, long seed) {
+	}
+
+	private record Event(double atMs, long order, Runnable action) implements Comparable<Event> {
+
+		@Override
+		public int compareTo(Event other) {
+			int byTime = Double.compare(this.atMs, other.atMs);
+			return (byTime != 0) ? byTime : Long.compare(this.order, other.order);
+		}
+
+	}
+
+	private record Work(Stream stream, int run, int hop) {
+	}
+
+	/** What callers saw; confined to the emulator. */
+	static final class Result {
+
+		private int asked;
+
+		private int onTime;
+
+		private int late;
+
+		private double eventMs;
+
+		private int eventsTimed;
+
+		private double firstMs;
+
+		private int firsts;
+
+		private void add(Stream stream) {
+			this.asked++;
+			boolean whole = stream.left <= 0 && !stream.failed;
+			boolean inTime = whole && stream.firstEventMs <= FIRST_EVENT_AIM_MS
+					&& stream.longestPauseMs <= PAUSE_AIM_MS;
+			this.onTime += inTime ? 1 : 0;
+			this.late += (whole && !inTime && stream.longestPauseMs < PATIENCE_MS) ? 1 : 0;
+			if (whole && stream.events > 1) {
+				this.eventMs += stream.lastEventMs - stream.startedMs - stream.firstEventMs;
+				this.eventsTimed += stream.events - 1;
+			}
+			if (whole) {
+				this.firstMs += stream.firstEventMs;
+				this.firsts++;
+			}
+		}
+
+		/**
+		 * The part of the benefit that is earned: late answers are worth a quarter.
+		 * @return 0 to 1
+		 */
+		double benefit() {
+			return (this.onTime + 0.25 * this.late) / Math.max(1, this.asked);
+		}
+
+		double meanEventMs() {
+			return this.eventMs / Math.max(1, this.eventsTimed);
+		}
+
+		double meanFirstMs() {
+			return this.firstMs / Math.max(1, this.firsts);
+		}
+
+	}
+
+	/** A stream; confined to the emulator. */
+	private static final class Stream {
+
+		private final String domain;
+
+		private final int router;
+
+		private final int prompt;
+
+		private final double startedMs;
+
+		private List<Hop> path = List.of();
+
+		private int run;
+
+		private int left;
+
+		private int made;
+
+		private int unreadTokens;
+
+		/** Prompt tokens that the engine at which it is has read. */
+		private int readHere;
+
+		private int events;
+
+		private double firstEventMs = Double.NaN;
+
+		private double lastEventMs;
+
+		private double longestPauseMs;
+
+		private boolean failed;
+
+		Stream(String domain, int router, int prompt, int answer, double startedMs) {
+			this.domain = domain;
+			this.router = router;
+			this.prompt = prompt;
+			this.left = answer;
+			this.startedMs = startedMs;
+		}
+
+		int tokens() {
+			return this.prompt + this.made + this.left;
+		}
+
+		void begin(List<Hop> chosen) {
+			this.path = chosen;
+			this.run++;
+			this.unreadTokens = this.prompt + this.made;
+			this.readHere = 0;
+		}
+
+		void token(double nowMs) {
+			this.unreadTokens = 0;
+			this.made++;
+			this.left--;
+			if (this.made % TOKENS_PER_EVENT != 0 && this.left > 0) {
+				return;
+			}
+			if (this.events == 0) {
+				this.firstEventMs = nowMs - this.startedMs;
+			}
+			else {
+				this.longestPauseMs = Math.max(this.longestPauseMs, nowMs - this.lastEventMs);
+			}
+			this.events++;
+			this.lastEventMs = nowMs;
+		}
+
+	}
+
+	/** An engine at work; confined to the emulator. */
+	private final class Station {
+
+		private Engine engine;
+
+		private final ArrayDeque<Work> waiting = new ArrayDeque<>();
+
+		private boolean working;
+
+		private boolean dead;
+
+		private boolean noticedDead;
+
+		private double pace = 1;
+
+		private double usedTokenLayers;
+
+		/** Room that each router has taken since it last told the others. */
+		private final double[] untold = new double[ChainEmulator.this.scenario.routers()];
+
+		private final double[] unreadTokens = new double[ChainEmulator.this.scenario.routers()];
+
+		Station(Engine engine) {
+			this.engine = engine;
+		}
+
+		void reserve(Stream stream, Hop hop) {
+			double taken = stream.tokens() * (double) (hop.layers().end() - hop.layers().first());
+			this.usedTokenLayers += taken;
+			this.untold[stream.router] += taken;
+			this.unreadTokens[stream.router] += stream.unreadTokens;
+		}
+
+		double tell() {
+			Arrays.fill(this.untold, 0);
+			return this.usedTokenLayers;
+		}
+
+		boolean fits(Stream stream, Hop hop) {
+			double room = ChainFleet.MODEL.roomTokenLayers(this.engine.kind(), this.engine.heldLayers());
+			int layers = hop.layers().end() - hop.layers().first();
+			return this.usedTokenLayers + stream.tokens() * (double) layers <= room;
+		}
+
+		void free(Stream stream, Hop hop) {
+			this.usedTokenLayers -= stream.tokens() * (double) (hop.layers().end() - hop.layers().first());
+		}
+
+		PathCosts.Load load(double told, int router) {
+			double room = ChainFleet.MODEL.roomTokenLayers(this.engine.kind(), this.engine.heldLayers());
+			double unread = Math.max(0, this.unreadTokens[router]) * this.untold.length;
+			return new PathCosts.Load((told + this.untold[router]) / Math.max(1, room), unread, this.pace, false);
+		}
+
+		void enqueue(Work work) {
+			this.waiting.add(work);
+			if (!this.working) {
+				pass();
+			}
+		}
+
+		private void pass() {
+			this.working = !this.waiting.isEmpty() && !this.dead;
+			if (!this.working) {
+				return;
+			}
+			List<Work> batch = new ArrayList<>(this.waiting);
+			this.waiting.clear();
+			int layers = 0;
+			double passMs = 0;
+			for (Work work : batch) {
+				int held = layersOf(work);
+				layers = Math.max(layers, held);
+				passMs += held * (ChainFleet.MODEL.layerStepMs(this.engine.kind(), 1)
+						- ChainFleet.MODEL.layerStepMs(this.engine.kind(), 0));
+				passMs += ChainFleet.MODEL.readMs(this.engine.kind(), held, read(work));
+			}
+			passMs += layers * ChainFleet.MODEL.layerStepMs(this.engine.kind(), 0);
+			at(ChainEmulator.this.nowMs + passMs * this.pace, () -> finish(batch));
+		}
+
+		// A pass reads no more than a chunk of a prompt; the rest waits for the next.
+		private int read(Work work) {
+			Stream stream = work.stream();
+			int left = stream.unreadTokens - stream.readHere;
+			int read = Math.min(left, CHUNK_TOKENS);
+			stream.readHere += read;
+			this.unreadTokens[stream.router] -= read;
+			return read;
+		}
+
+		private int layersOf(Work work) {
+			if (work.hop() >= work.stream().path.size()) {
+				return 1;
+			}
+			Hop hop = work.stream().path.get(work.hop());
+			return hop.layers().end() - hop.layers().first();
+		}
+
+		private void passedOrReadOn(Work work) {
+			if (work.stream().readHere < work.stream().unreadTokens && work.run() == work.stream().run) {
+				this.waiting.add(work);
+				return;
+			}
+			work.stream().readHere = 0;
+			passed(work);
+		}
+
+		private void finish(List<Work> batch) {
+			if (!this.dead) {
+				batch.forEach(this::passedOrReadOn);
+				this.working = false;
+				pass();
+			}
+		}
+
+	}
+
+}
