--- a/whinjunction-bench/src/main/java/io/whinjunction/bench/ChainBench.java
+++ b/whinjunction-bench/src/main/java/io/whinjunction/bench/ChainBench.java
@@ -42,7 +42,7 @@
 			report.put("chains.%d.flow-bound".formatted(perDomain), "requests/s",
 					ChainBound.requestsPerSecond(ChainFleet.placed(empty)));
 			scenarios(capacity, size).forEach((name, scenario) -> policies().forEach((policy, maker) -> {
-				ChainEmulator.Result result = new ChainEmulator(maker.get(), empty, scenario).run();
+				ChainResult result = new ChainEmulator(maker.get(), empty, scenario).run();
 				report.put("chains.%d.%s.%s".formatted(perDomain, name, policy), "of the benefit", result.benefit());
 				if (name.equals("calm") && policy.equals(PRODUCT)) {
 					report.put("chains.%d.event-mean".formatted(perDomain), "ms", result.meanEventMs());
@@ -70,10 +70,10 @@
 		return sum;
 	}
 
-	private Map<String, ChainEmulator.Scenario> scenarios(double capacity, Size size) {
+	private Map<String, ChainScenario> scenarios(double capacity, Size size) {
 		int deaths = Math.max(1, size.perDomain() / 30);
 		double usual = USUAL_LOAD * capacity;
-		Map<String, ChainEmulator.Scenario> scenarios = new LinkedHashMap<>();
+		Map<String, ChainScenario> scenarios = new LinkedHashMap<>();
 		scenarios.put("calm", scenario(size, usual, 1, 0, 0, 250));
 		scenarios.put("high", scenario(size, HIGH_LOAD * capacity, 1, 0, 0, 250));
 		scenarios.put("loss", scenario(size, usual, 1, deaths, 0, 250));
@@ -83,9 +83,8 @@
 		return scenarios;
 	}
 
-	private ChainEmulator.Scenario scenario(Size size, double rate, double burst, int deaths, int slowed,
-			double lagMs) {
-		return new ChainEmulator.Scenario(size.domains(), size.routers(), rate, burst, deaths, slowed, lagMs,
+	private ChainScenario scenario(Size size, double rate, double burst, int deaths, int slowed, double lagMs) {
+		return new ChainScenario(size.domains(), size.routers(), rate, burst, deaths, slowed, lagMs,
 				size.lengthPart() * this.lengthMs, 1);
 	}
 
--- a/whinjunction-bench/src/main/java/io/whinjunction/bench/ChainEmulator.java
+++ b/whinjunction-bench/src/main/java/io/whinjunction/bench/ChainEmulator.java
@@ -33,20 +33,11 @@
 	/** From a death to the orders that repair it, in milliseconds. */
 	private static final double ORDER_MS = 350;
 
-	private static final double FIRST_EVENT_AIM_MS = 500;
-
-	private static final double PAUSE_AIM_MS = 250;
-
-	/** Callers leave a stream after a pause of this length, in milliseconds. */
-	private static final double PATIENCE_MS = 2000;
-
-	private static final int TOKENS_PER_EVENT = 4;
-
 	private static final int CHUNK_TOKENS = 512;
 
 	private final ChainPolicy policy;
 
-	private final Scenario scenario;
+	private final ChainScenario scenario;
 
 	private final Random random;
 
@@ -54,7 +45,7 @@
 
 	private final Map<String, Station> stations = new HashMap<>();
 
-	private final List<Stream> streams = new ArrayList<>();
+	private final List<EmulatedStream> streams = new ArrayList<>();
 
 	/** Room that was taken when routers last heard of each other, by engine. */
 	private Map<String, Double> known = Map.of();
@@ -67,7 +58,7 @@
 
 	private long order;
 
-	ChainEmulator(ChainPolicy policy, List<Engine> empty, Scenario scenario) {
+	ChainEmulator(ChainPolicy policy, List<Engine> empty, ChainScenario scenario) {
 		this.policy = policy;
 		this.scenario = scenario;
 		this.random = new Random(scenario.seed());
@@ -88,7 +79,7 @@
 	 * Plays the scenario.
 	 * @return what callers saw
 	 */
-	Result run() {
+	ChainResult run() {
 		for (double atMs = 0; atMs < this.scenario.lengthMs(); atMs += gapMs(atMs)) {
 			at(atMs, this::arrive);
 		}
@@ -119,13 +110,13 @@
 	private void arrive() {
 		int prompt = (int) Math.clamp(-Math.log(1 - this.random.nextDouble()) * 775, 20, 2280);
 		int answer = (int) Math.clamp(-Math.log(1 - this.random.nextDouble()) * 216, 8, 640);
-		Stream stream = new Stream("d" + this.random.nextInt(this.scenario.domains()),
+		EmulatedStream stream = new EmulatedStream("d" + this.random.nextInt(this.scenario.domains()),
 				this.random.nextInt(this.scenario.routers()), prompt, answer, this.nowMs);
 		this.streams.add(stream);
 		send(stream);
 	}
 
-	private void send(Stream stream) {
+	private void send(EmulatedStream stream) {
 		Optional<List<Hop>> path = choose(stream);
 		if (path.isPresent() && !fits(stream, path.get())) {
 			// An engine without room says so, and the router looks again.
@@ -133,20 +124,20 @@
 			path = choose(stream);
 		}
 		if (path.isEmpty() || !fits(stream, path.get())) {
-			stream.failed = true;
+			stream.fail();
 			return;
 		}
 		stream.begin(path.get());
 		path.get().forEach((hop) -> station(hop).reserve(stream, hop));
-		arriveAt(stream, stream.run, 0);
+		arriveAt(stream, stream.run(), 0);
 	}
 
-	private Optional<List<Hop>> choose(Stream stream) {
+	private Optional<List<Hop>> choose(EmulatedStream stream) {
 		List<Engine> holders = holders();
-		return this.policy.path(holders, loads(holders, stream.router), stream.domain, stream.tokens());
+		return this.policy.path(holders, loads(holders, stream.router()), stream.domain(), stream.tokens());
 	}
 
-	private boolean fits(Stream stream, List<Hop> path) {
+	private boolean fits(EmulatedStream stream, List<Hop> path) {
 		return path.stream().allMatch((hop) -> station(hop).fits(stream, hop));
 	}
 
@@ -182,25 +173,25 @@
 		return this.stations.get(hop.engine().id());
 	}
 
-	private void arriveAt(Stream stream, int run, int hop) {
-		if (stream.run != run || stream.failed) {
+	private void arriveAt(EmulatedStream stream, int run, int hop) {
+		if (stream.run() != run || stream.failed()) {
 			return;
 		}
-		station(stream.path.get(hop)).enqueue(new Work(stream, run, hop));
+		station(stream.path().get(hop)).enqueue(new Work(stream, run, hop));
 	}
 
 	private void passed(Work work) {
-		Stream stream = work.stream();
-		if (stream.run != work.run() || stream.failed) {
+		EmulatedStream stream = work.stream();
+		if (stream.run() != work.run() || stream.failed()) {
 			return;
 		}
 		int next = work.hop() + 1;
-		if (next < stream.path.size()) {
+		if (next < stream.path().size()) {
 			at(this.nowMs + HOP_MS, () -> arriveAt(stream, work.run(), next));
 			return;
 		}
 		stream.token(this.nowMs);
-		if (stream.left > 0) {
+		if (stream.waiting()) {
 			at(this.nowMs + HOP_MS, () -> arriveAt(stream, work.run(), 0));
 		}
 		else {
@@ -208,8 +199,8 @@
 		}
 	}
 
-	private void release(Stream stream) {
-		stream.path.forEach((hop) -> station(hop).free(stream, hop));
+	private void release(EmulatedStream stream) {
+		stream.path().forEach((hop) -> station(hop).free(stream, hop));
 	}
 
 	private void kill() {
@@ -238,9 +229,8 @@
 	private void noticed(Station station) {
 		station.noticedDead = true;
 		this.holders = null;
-		for (Stream stream : this.streams) {
-			boolean waits = stream.left > 0 && !stream.failed
-					&& stream.path.stream().anyMatch((hop) -> station(hop) == station);
+		for (EmulatedStream stream : this.streams) {
+			boolean waits = stream.waiting() && stream.path().stream().anyMatch((hop) -> station(hop) == station);
 			if (waits && !(this.policy instanceof ChainPolicy.OneReplica)) {
 				release(stream);
 				send(stream);
@@ -265,29 +255,12 @@
 		}
 	}
 
-	private Result result() {
-		Result result = new Result();
+	private ChainResult result() {
+		ChainResult result = new ChainResult();
 		this.streams.forEach(result::add);
 		return result;
 	}
 
-	/**
-	 * A scenario. Immutable.
-	 *
-	 * @param domains failure domains
-	 * @param routers routers that choose alone
-	 * @param requestsPerSecond requests a second in all
-	 * @param burst how many times more come in the fourth sixth of it
-	 * @param deaths engines that die after a third of it
-	 * @param slowed engines that work five times slower from then on
-	 * @param lagMs how old at most is what routers know of loads, in milliseconds
-	 * @param lengthMs how long requests come, in milliseconds
-	 * @param seed the source of chance
-	 */
-	record Scenario(int domains, int routers, double requestsPerSecond, double burst, int deaths, int slowed,
-			double lagMs, double lengthMs, long seed) {
-	}
-
 	private record Event(double atMs, long order, Runnable action) implements Comparable<Event> {
 
 		@Override
@@ -298,131 +271,7 @@
 
 	}
 
-	private record Work(Stream stream, int run, int hop) {
-	}
-
-	/** What callers saw; confined to the emulator. */
-	static final class Result {
-
-		private int asked;
-
-		private int onTime;
-
-		private int late;
-
-		private double eventMs;
-
-		private int eventsTimed;
-
-		private double firstMs;
-
-		private int firsts;
-
-		private void add(Stream stream) {
-			this.asked++;
-			boolean whole = stream.left <= 0 && !stream.failed;
-			boolean inTime = whole && stream.firstEventMs <= FIRST_EVENT_AIM_MS
-					&& stream.longestPauseMs <= PAUSE_AIM_MS;
-			this.onTime += inTime ? 1 : 0;
-			this.late += (whole && !inTime && stream.longestPauseMs < PATIENCE_MS) ? 1 : 0;
-			if (whole && stream.events > 1) {
-				this.eventMs += stream.lastEventMs - stream.startedMs - stream.firstEventMs;
-				this.eventsTimed += stream.events - 1;
-			}
-			if (whole) {
-				this.firstMs += stream.firstEventMs;
-				this.firsts++;
-			}
-		}
-
-		/**
-		 * The part of the benefit that is earned: late answers are worth a quarter.
-		 * @return 0 to 1
-		 */
-		double benefit() {
-			return (this.onTime + 0.25 * this.late) / Math.max(1, this.asked);
-		}
-
-		double meanEventMs() {
-			return this.eventMs / Math.max(1, this.eventsTimed);
-		}
-
-		double meanFirstMs() {
-			return this.firstMs / Math.max(1, this.firsts);
-		}
-
-	}
-
-	/** A stream; confined to the emulator. */
-	private static final class Stream {
-
-		private final String domain;
-
-		private final int router;
-
-		private final int prompt;
-
-		private final double startedMs;
-
-		private List<Hop> path = List.of();
-
-		private int run;
-
-		private int left;
-
-		private int made;
-
-		private int unreadTokens;
-
-		/** Prompt tokens that the engine at which it is has read. */
-		private int readHere;
-
-		private int events;
-
-		private double firstEventMs = Double.NaN;
-
-		private double lastEventMs;
-
-		private double longestPauseMs;
-
-		private boolean failed;
-
-		Stream(String domain, int router, int prompt, int answer, double startedMs) {
-			this.domain = domain;
-			this.router = router;
-			this.prompt = prompt;
-			this.left = answer;
-			this.startedMs = startedMs;
-		}
-
-		int tokens() {
-			return this.prompt + this.made + this.left;
-		}
-
-		void begin(List<Hop> chosen) {
-			this.path = chosen;
-			this.run++;
-			this.unreadTokens = this.prompt + this.made;
-			this.readHere = 0;
-		}
-
-		void token(double nowMs) {
-			this.unreadTokens = 0;
-			this.made++;
-			this.left--;
-			if (this.made % TOKENS_PER_EVENT != 0 && this.left > 0) {
-				return;
-			}
-			if (this.events == 0) {
-				this.firstEventMs = nowMs - this.startedMs;
-			}
-			else {
-				this.longestPauseMs = Math.max(this.longestPauseMs, nowMs - this.lastEventMs);
-			}
-			this.events++;
-			this.lastEventMs = nowMs;
-		}
-
+	private record Work(EmulatedStream stream, int run, int hop) {
 	}
 
 	/** An engine at work; confined to the emulator. */
@@ -451,11 +300,11 @@
 			this.engine = engine;
 		}
 
-		void reserve(Stream stream, Hop hop) {
+		void reserve(EmulatedStream stream, Hop hop) {
 			double taken = stream.tokens() * (double) (hop.layers().end() - hop.layers().first());
 			this.usedTokenLayers += taken;
-			this.untold[stream.router] += taken;
-			this.unreadTokens[stream.router] += stream.unreadTokens;
+			this.untold[stream.router()] += taken;
+			this.unreadTokens[stream.router()] += stream.unreadTokens();
 		}
 
 		double tell() {
@@ -463,13 +312,13 @@
 			return this.usedTokenLayers;
 		}
 
-		boolean fits(Stream stream, Hop hop) {
+		boolean fits(EmulatedStream stream, Hop hop) {
 			double room = ChainFleet.MODEL.roomTokenLayers(this.engine.kind(), this.engine.heldLayers());
 			int layers = hop.layers().end() - hop.layers().first();
 			return this.usedTokenLayers + stream.tokens() * (double) layers <= room;
 		}
 
-		void free(Stream stream, Hop hop) {
+		void free(EmulatedStream stream, Hop hop) {
 			this.usedTokenLayers -= stream.tokens() * (double) (hop.layers().end() - hop.layers().first());
 		}
 
@@ -508,28 +357,25 @@
 
 		// A pass reads no more than a chunk of a prompt; the rest waits for the next.
 		private int read(Work work) {
-			Stream stream = work.stream();
-			int left = stream.unreadTokens - stream.readHere;
-			int read = Math.min(left, CHUNK_TOKENS);
-			stream.readHere += read;
-			this.unreadTokens[stream.router] -= read;
+			int read = work.stream().read(CHUNK_TOKENS);
+			this.unreadTokens[work.stream().router()] -= read;
 			return read;
 		}
 
 		private int layersOf(Work work) {
-			if (work.hop() >= work.stream().path.size()) {
+			if (work.hop() >= work.stream().path().size()) {
 				return 1;
 			}
-			Hop hop = work.stream().path.get(work.hop());
+			Hop hop = work.stream().path().get(work.hop());
 			return hop.layers().end() - hop.layers().first();
 		}
 
 		private void passedOrReadOn(Work work) {
-			if (work.stream().readHere < work.stream().unreadTokens && work.run() == work.stream().run) {
+			boolean current = work.run() == work.stream().run();
+			if (current && !work.stream().readWhole()) {
 				this.waiting.add(work);
 				return;
 			}
-			work.stream().readHere = 0;
 			passed(work);
 		}
 
