--- a/whinjunction-bench/src/main/java/io/whinjunction/bench/ChainEmulator.java
+++ b/whinjunction-bench/src/main/java/io/whinjunction/bench/ChainEmulator.java
@@ -62,19 +62,11 @@
 		this.policy = policy;
 		this.scenario = scenario;
 		this.random = new Random(scenario.seed());
-		Map<String, Placement> placements = new HashMap<>();
-		policy.place(empty).forEach((placement) -> placements.put(placement.engine().id(), placement));
-		for (Engine engine : empty) {
-			Placement placement = placements.get(engine.id());
-			this.stations.put(engine.id(), new Station((placement != null) ? holding(engine, placement) : engine));
+		for (Engine engine : ChainFleet.carriedOut(empty, policy.place(empty))) {
+			this.stations.put(engine.id(), new Station(engine));
 		}
 	}
 
-	private static Engine holding(Engine engine, Placement placement) {
-		return new Engine(engine.id(), engine.address(), engine.failureDomain(), engine.kind(), placement.layers(),
-				false);
-	}
-
 	/**
 	 * Plays the scenario.
 	 * @return what callers saw
@@ -249,7 +241,7 @@
 			int added = placement.layers().end() - placement.layers().first() - station.engine.heldLayers();
 			double loadMs = ChainFleet.MODEL.loadSeconds() * 1000 * added / ChainFleet.MODEL.layers();
 			at(this.nowMs + loadMs, () -> {
-				station.engine = holding(station.engine, placement);
+				station.engine = ChainFleet.holding(station.engine, placement);
 				this.holders = null;
 			});
 		}
--- a/whinjunction-bench/src/main/java/io/whinjunction/bench/ChainFleet.java
+++ b/whinjunction-bench/src/main/java/io/whinjunction/bench/ChainFleet.java
@@ -88,7 +88,13 @@
 			.toList();
 	}
 
-	private static Engine holding(Engine engine, Placement placement) {
+	/**
+	 * Carries one placement out.
+	 * @param engine the engine before
+	 * @param placement what it should hold
+	 * @return the engine after
+	 */
+	static Engine holding(Engine engine, Placement placement) {
 		return new Engine(engine.id(), engine.address(), engine.failureDomain(), engine.kind(), placement.layers(),
 				engine.leaving());
 	}
