--- a/whinjunction-router/src/main/java/io/whinjunction/router/Attempt.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/Attempt.java
@@ -96,7 +96,7 @@
 			notSent("no-connection");
 			return;
 		}
-		UpstreamState state = this.session.router().directory().find(this.target.first().id());
+		UpstreamState state = this.session.router().directory().find(this.target.first().incarnation());
 		if (state == null || state.upstream().leaving()) {
 			connected.channel().close();
 			notSent("upstream-left");
@@ -123,7 +123,7 @@
 			this.session.router().watch().add(this);
 			countReading(true);
 		}
-		this.session.countSent(this.target.first().id());
+		this.session.countSent(this.target.first().incarnation());
 		CallerRequest request = this.session.request();
 		this.connection.begin(request.id(), this);
 		HttpHeaders headers = new DefaultHttpHeaders();
@@ -445,7 +445,7 @@
 
 	private void count(boolean begins) {
 		if (this.target.path().isEmpty()) {
-			count(this.target.first().id(), 0, begins);
+			count(this.target.first().incarnation(), 0, begins);
 		}
 		long tokens = this.session.expectedTokens();
 		for (Hop hop : this.target.path()) {
--- a/whinjunction-router/src/main/java/io/whinjunction/router/EngineReport.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/EngineReport.java
@@ -7,6 +7,8 @@
 /**
  * What an engine says of itself, a while ago. Immutable.
  *
+ * @param bornMs when it started, in milliseconds since 1970;
+ * {@link Upstream#BORN_UNKNOWN} where it doesn't say
  * @param held the layers it holds, or {@code null}
  * @param loading whether an order is being carried out
  * @param orders how many orders it has begun since its start
@@ -17,8 +19,8 @@
  * @param pace how many times slower than usual it works
  * @param stalled requests that wait for another engine of their path
  */
-public record EngineReport(LayerRange held, boolean loading, long orders, int active, int queued, long usedTokenLayers,
-		long sizeTokenLayers, double pace, List<Stalled> stalled) {
+public record EngineReport(long bornMs, LayerRange held, boolean loading, long orders, int active, int queued,
+		long usedTokenLayers, long sizeTokenLayers, double pace, List<Stalled> stalled) {
 
 	/**
 	 * A request that waits for another engine.
--- a/whinjunction-router/src/main/java/io/whinjunction/router/EngineWatch.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/EngineWatch.java
@@ -124,23 +124,21 @@
 	}
 
 	/**
-	 * Addresses of engines that this router itself has found silent.
-	 * @return the addresses
+	 * Engines that this router itself has found silent.
+	 * @return their incarnations
 	 */
 	List<String> suspects() {
-		List<String> addresses = new ArrayList<>();
-		this.suspicions.values().forEach((suspicion) -> addresses.add(suspicion.upstream.address()));
-		return addresses;
+		return List.copyOf(this.suspicions.keySet());
 	}
 
 	/**
 	 * Hears from another router, or from an engine, that an engine is silent. It is
 	 * asked; until this router has found it silent itself, its streams stay: one mistake
 	 * of one router would move the streams of all.
-	 * @param address the engine
+	 * @param incarnation the engine; what was said of an earlier start of it is void
 	 */
-	void hearsay(String address) {
-		UpstreamState state = this.router.directory().findByAddress(address);
+	void hearsay(String incarnation) {
+		UpstreamState state = this.router.directory().find(incarnation);
 		if (state != null && state.upstream().held() != null) {
 			state.avoidUntil(this.router.nowMs() + HEARSAY_MS);
 			new Round().ask(state.upstream());
@@ -162,8 +160,8 @@
 			}
 		});
 		for (Suspicion suspicion : List.copyOf(this.suspicions.values())) {
-			if (this.router.directory().find(suspicion.upstream.id()) == null) {
-				this.suspicions.remove(suspicion.upstream.id());
+			if (this.router.directory().find(suspicion.upstream.incarnation()) == null) {
+				this.suspicions.remove(suspicion.upstream.incarnation());
 			}
 			else {
 				round.ask(suspicion.upstream);
@@ -199,9 +197,6 @@
 	}
 
 	private void moveFromSuspects(Map<Attempt, StallRules.Pause> pauses) {
-		if (this.suspicions.isEmpty()) {
-			return;
-		}
 		pauses.forEach((stream, pause) -> {
 			if (StallRules.waits(pause)) {
 				suspectOf(stream).ifPresent(stream::stalled);
@@ -213,7 +208,8 @@
 		return stream.target()
 			.path()
 			.stream()
-			.filter((hop) -> this.suspicions.containsKey(hop.engine().id()))
+			.filter((hop) -> this.suspicions.containsKey(hop.engine().id())
+					|| this.router.directory().ended(hop.engine().id()))
 			.map((hop) -> hop.engine().address())
 			.findFirst();
 	}
@@ -229,17 +225,17 @@
 	}
 
 	private void silent(Upstream upstream, boolean answered) {
-		UpstreamState state = this.router.directory().find(upstream.id());
+		UpstreamState state = this.router.directory().find(upstream.incarnation());
 		if (state == null) {
-			this.suspicions.remove(upstream.id());
+			this.suspicions.remove(upstream.incarnation());
 			return;
 		}
-		Suspicion suspicion = this.suspicions.computeIfAbsent(upstream.id(), (id) -> new Suspicion(upstream));
+		Suspicion suspicion = this.suspicions.computeIfAbsent(upstream.incarnation(), (id) -> new Suspicion(upstream));
 		suspicion.unanswered++;
 		state.avoidUntil(this.router.nowMs() + AVOID_MS);
 		if (suspicion.unanswered <= LOST_AFTER) {
 			logger.atWarning()
-				.log("event=engine-suspect engine=%s address=%s unanswered=%d answered=%s", upstream.id(),
+				.log("event=engine-suspect engine=%s address=%s unanswered=%d answered=%s", upstream.incarnation(),
 						upstream.address(), suspicion.unanswered, answered);
 			this.news.run();
 			moveFromSuspects(pauses());
@@ -247,11 +243,12 @@
 	}
 
 	private void works(Upstream upstream) {
-		UpstreamState state = this.router.directory().find(upstream.id());
-		Suspicion cleared = this.suspicions.remove(upstream.id());
+		UpstreamState state = this.router.directory().find(upstream.incarnation());
+		Suspicion cleared = this.suspicions.remove(upstream.incarnation());
 		if (cleared != null && state != null) {
 			state.avoidUntil(Long.MIN_VALUE);
-			logger.atInfo().log("event=engine-regained engine=%s address=%s", upstream.id(), upstream.address());
+			logger.atInfo()
+				.log("event=engine-regained engine=%s address=%s", upstream.incarnation(), upstream.address());
 		}
 	}
 
@@ -279,26 +276,32 @@
 
 		void ask(Upstream upstream) {
 			long nowMs = EngineWatch.this.router.nowMs();
-			Suspicion suspicion = EngineWatch.this.suspicions.get(upstream.id());
+			Suspicion suspicion = EngineWatch.this.suspicions.get(upstream.incarnation());
 			boolean urgent = suspicion != null && suspicion.unanswered < LOST_AFTER;
-			Long askedMs = EngineWatch.this.askedAtMs.get(upstream.id());
+			Long askedMs = EngineWatch.this.askedAtMs.get(upstream.incarnation());
 			boolean askedLately = askedMs != null && nowMs - askedMs < (urgent ? SUSPECT_PAUSE_MS : ASK_PAUSE_MS);
 			if (askedLately || this.asked >= MOST_ASKED_AT_ONCE) {
 				return;
 			}
-			EngineWatch.this.askedAtMs.put(upstream.id(), nowMs);
+			EngineWatch.this.askedAtMs.put(upstream.incarnation(), nowMs);
 			EngineWatch.this.askedAtMs.values().removeIf((atMs) -> nowMs - atMs > 10 * ASK_PAUSE_MS);
 			if (this.asked == 0) {
 				this.firstAskedMs = nowMs;
 				EngineWatch.this.router.loop().schedule(this::judge, ANSWER_BESIDE_OTHERS_MS, TimeUnit.MILLISECONDS);
 			}
 			this.asked++;
-			this.waiting.put(upstream.id(), upstream);
+			this.waiting.put(upstream.incarnation(), upstream);
 			EngineWatch.this.engines.report(upstream.address(), ANSWER_MS, (report) -> take(upstream, nowMs, report));
 		}
 
 		private void take(Upstream upstream, long askedMs, Optional<EngineReport> report) {
-			boolean open = this.waiting.remove(upstream.id()) != null;
+			boolean open = this.waiting.remove(upstream.incarnation()) != null;
+			if (report.isPresent() && !EngineWatch.this.router.directory().confirm(upstream, report.get())) {
+				this.answers++;
+				EngineWatch.this.suspicions.remove(upstream.incarnation());
+				EngineWatch.this.news.run();
+				return;
+			}
 			boolean holds = report.isPresent() && (report.get().held() != null || report.get().loading());
 			this.answers += report.isPresent() ? 1 : 0;
 			if (holds) {
--- a/whinjunction-router/src/main/java/io/whinjunction/router/ForwardSession.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/ForwardSession.java
@@ -298,9 +298,9 @@
 	 * @return the whole path, or empty where there is none
 	 */
 	Optional<List<Hop>> detour(String faultyAddress, Hop first) {
-		UpstreamState faulty = this.router.directory().findByAddress(faultyAddress);
+		UpstreamState faulty = this.router.directory().findByAddress(this.service.name(), faultyAddress);
 		if (faulty != null) {
-			this.tried.add(faulty.upstream().id());
+			this.tried.add(faulty.upstream().incarnation());
 		}
 		TargetChooser.Wish wish = new TargetChooser.Wish(this.service, expectedTokens(), this.tried, null, false);
 		return this.router.chooser().detour(wish, first, this.router.nowMs());
@@ -313,20 +313,21 @@
 
 	private void avoid(Attempt ended, AttemptEnd end, String faultyAddress) {
 		long untilMs = this.router.nowMs() + AVOID_MS;
-		UpstreamState faulty = (faultyAddress != null) ? this.router.directory().findByAddress(faultyAddress) : null;
+		UpstreamState faulty = (faultyAddress != null)
+				? this.router.directory().findByAddress(this.service.name(), faultyAddress) : null;
 		if (faulty != null) {
 			faulty.avoidUntil(untilMs);
-			this.tried.add(faulty.upstream().id());
-			this.router.watch().hearsay(faultyAddress);
+			this.tried.add(faulty.upstream().incarnation());
+			this.router.watch().hearsay(faulty.upstream().incarnation());
 			return;
 		}
 		Upstream first = ended.target().first();
 		// A chain may begin at the same engine again: a lost answer or a full engine says
 		// little of it, and where the route allows no other one, there is none else.
 		if (!this.service.chained()) {
-			this.tried.add(first.id());
+			this.tried.add(first.incarnation());
 		}
-		UpstreamState state = this.router.directory().find(first.id());
+		UpstreamState state = this.router.directory().find(first.incarnation());
 		if (state != null && !(end instanceof AttemptEnd.Failed)) {
 			state.avoidUntil(untilMs);
 		}
--- a/whinjunction-router/src/main/java/io/whinjunction/router/LayerKeeper.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/LayerKeeper.java
@@ -113,14 +113,18 @@
 	private void survey(Upstream upstream) {
 		this.engines.report(upstream.address(), REPORT_MS, (report) -> {
 			logger.atInfo()
-				.log("event=engine-state engine=%s domain=%s kind=%s listed=%s report=\"%s\"", upstream.id(),
+				.log("event=engine-state engine=%s domain=%s kind=%s listed=%s report=\"%s\"", upstream.incarnation(),
 						upstream.failureDomain(), upstream.kind(), upstream.held(), report.orElse(null));
+			if (report.isPresent() && !this.router.directory().confirm(upstream, report.get())) {
+				this.paces.remove(upstream.incarnation());
+				return;
+			}
 			double pace = report.map(EngineReport::pace).orElse(1.0);
 			if (pace > SLOW_PACE) {
-				this.paces.put(upstream.id(), pace);
+				this.paces.put(upstream.incarnation(), pace);
 			}
 			else {
-				this.paces.remove(upstream.id());
+				this.paces.remove(upstream.incarnation());
 			}
 		});
 	}
@@ -156,7 +160,7 @@
 		List<Engine> state = new ArrayList<>();
 		for (UpstreamState upstream : this.router.directory().staying(service.name())) {
 			EngineKind kind = profile.kinds().get(upstream.upstream().kind());
-			if (kind != null && !this.router.watch().lost(upstream.upstream().id())) {
+			if (kind != null && !this.router.watch().lost(upstream.upstream().incarnation())) {
 				state.add(engine(upstream.upstream(), kind));
 			}
 		}
@@ -215,9 +219,9 @@
 	}
 
 	private Engine engine(Upstream upstream, EngineKind kind) {
-		Ordered order = this.ordered.get(upstream.id());
+		Ordered order = this.ordered.get(upstream.incarnation());
 		LayerRange held = (order != null) ? order.layers() : upstream.held();
-		return new Engine(upstream.id(), upstream.address(), upstream.failureDomain(), kind, held, false);
+		return new Engine(upstream.incarnation(), upstream.address(), upstream.failureDomain(), kind, held, false);
 	}
 
 	private void forgetSettled(ModelProfile profile) {
@@ -238,7 +242,17 @@
 	private void order(ModelProfile profile, Placement placement) {
 		Engine engine = placement.engine();
 		this.ordered.put(engine.id(), new Ordered(placement.layers(), this.router.nowMs()));
-		this.engines.report(engine.address(), REPORT_MS, (report) -> place(engine, placement.layers(), report));
+		this.engines.report(engine.address(), REPORT_MS, (report) -> {
+			UpstreamState state = this.router.directory().find(engine.id());
+			if (state == null
+					|| (report.isPresent() && !this.router.directory().confirm(state.upstream(), report.get()))) {
+				// It has started again: it counts its orders anew and holds nothing of
+				// what the plan was made for.
+				logger.atWarning().log("event=order-dropped engine=%s reason=restarted-or-gone", engine.id());
+				return;
+			}
+			place(engine, placement.layers(), report);
+		});
 	}
 
 	private void place(Engine engine, LayerRange layers, Optional<EngineReport> report) {
--- a/whinjunction-router/src/main/java/io/whinjunction/router/PeerCodec.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/PeerCodec.java
@@ -54,6 +54,10 @@
 		catch (TException ex) {
 			return Optional.empty();
 		}
+		// Whoever reaches the port can write to it: what is no address is never sent to.
+		if (!Addresses.valid(message.getAddress()) || !message.getRouters().stream().allMatch(Addresses::valid)) {
+			return Optional.empty();
+		}
 		return Optional.of(new PeerStatus(message.getName(), message.getAddress(), message.getFailureDomain(),
 				message.getSequence(), message.isAnswer(), message.getVersion(), message.getProofAgeMs(),
 				message.getSuspects(), message.getTokenLayersByEngine(), message.getRouters(), message.isLeaving(),
--- a/whinjunction-router/src/main/java/io/whinjunction/router/PeerStatus.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/PeerStatus.java
@@ -14,12 +14,12 @@
  * @param version the configuration in force there; -1 before the first
  * @param proofAgeMs the age of its newest proof when it wrote this, in milliseconds; -1
  * where it has none
- * @param suspects addresses of engines that don't answer it
+ * @param suspects incarnations of engines that don't answer it
  * @param tokenLayersByEngine memory of its requests in progress, in tokens times layers,
- * by the engine's name
+ * by the engine's incarnation
  * @param routers addresses of other routers that it has heard of lately
  * @param leaving whether it is about to stop
- * @param paceByEngine how many times slower than usual engines work, by name
+ * @param paceByEngine how many times slower than usual engines work, by incarnation
  * @param leading whether it holds the lease under which layers are ordered
  */
 record PeerStatus(String name, String address, String failureDomain, long sequence, boolean answer, long version,
--- a/whinjunction-router/src/main/java/io/whinjunction/router/Router.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/Router.java
@@ -133,7 +133,7 @@
 				settings.bounds().configurationMs());
 		this.peers = new PeerTable(text(settings.peers()), RandomGenerator.getDefault());
 		this.pool = new UpstreamPool(this.loop, this.dialect, this.ticker);
-		this.directory = new UpstreamDirectory((upstream) -> this.pool.drop(upstream.id()));
+		this.directory = new UpstreamDirectory((upstream) -> this.pool.drop(upstream.incarnation()));
 		this.watch = new EngineWatch(this, ports.engines(), this::engineNews);
 		this.peerLink = new PeerLink(this, this.peers, this::ownStatus, this::peerHeard);
 		this.store = ports.store();
--- a/whinjunction-router/src/main/java/io/whinjunction/router/TargetChooser.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/TargetChooser.java
@@ -73,14 +73,14 @@
 	private Optional<Target> single(Wish wish, long nowMs) {
 		Set<String> tried = wish.tried();
 		Comparator<UpstreamState> order = Comparator
-			.comparing((UpstreamState state) -> tried.contains(state.upstream().id()))
+			.comparing((UpstreamState state) -> tried.contains(state.upstream().incarnation()))
 			.thenComparing((state) -> state.avoided(nowMs))
 			.thenComparingInt(UpstreamState::requests)
 			.thenComparing((state) -> !state.upstream().failureDomain().equals(this.failureDomain))
-			.thenComparing((state) -> state.upstream().id());
+			.thenComparing((state) -> state.upstream().incarnation());
 		return this.directory.staying(wish.service().name())
 			.stream()
-			.filter((state) -> !tried.contains(state.upstream().id()))
+			.filter((state) -> !tried.contains(state.upstream().incarnation()))
 			.min(order)
 			.map((state) -> new Target(state.upstream(), List.of()));
 	}
@@ -118,7 +118,8 @@
 		List<PathFinder.Candidate> candidates = new ArrayList<>();
 		for (UpstreamState state : this.directory.staying(wish.service().name())) {
 			EngineKind kind = profile.kinds().get(state.upstream().kind());
-			if (state.upstream().held() == null || kind == null || wish.tried().contains(state.upstream().id())) {
+			if (state.upstream().held() == null || kind == null
+					|| wish.tried().contains(state.upstream().incarnation())) {
 				continue;
 			}
 			if (!wish.mustFit() || !full(profile, kind, state, nowMs)) {
@@ -131,9 +132,10 @@
 	private PathFinder.Candidate candidate(ModelProfile profile, EngineKind kind, UpstreamState state, int tokens,
 			int routers, long nowMs) {
 		Upstream upstream = state.upstream();
-		Engine engine = new Engine(upstream.id(), upstream.address(), upstream.failureDomain(), kind, upstream.held(),
-				false);
-		double pace = Math.max(this.paces.getOrDefault(upstream.id(), 1.0), this.peers.paceOf(upstream.id(), nowMs));
+		Engine engine = new Engine(upstream.incarnation(), upstream.address(), upstream.failureDomain(), kind,
+				upstream.held(), false);
+		double pace = Math.max(this.paces.getOrDefault(upstream.incarnation(), 1.0),
+				this.peers.paceOf(upstream.incarnation(), nowMs));
 		PathCosts.Load load = new PathCosts.Load(usedPart(profile, kind, state, nowMs),
 				(double) routers * state.unreadTokens(), pace, state.avoided(nowMs));
 		return PathCosts.rate(profile, engine, load, tokens);
@@ -156,7 +158,7 @@
 	double usedPart(ModelProfile profile, EngineKind kind, UpstreamState state, long nowMs) {
 		LayerRange held = state.upstream().held();
 		double room = profile.roomTokenLayers(kind, held.end() - held.first());
-		double used = state.tokenLayers() + this.peers.tokenLayersAt(state.upstream().id(), nowMs);
+		double used = state.tokenLayers() + this.peers.tokenLayersAt(state.upstream().incarnation(), nowMs);
 		return used / Math.max(1, room);
 	}
 
--- a/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamDirectory.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamDirectory.java
@@ -2,27 +2,55 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
 
+import com.google.common.flogger.FluentLogger;
+
 /**
  * All upstreams that this process knows.
  * <p>
- * Invariants: an upstream that was gone or leaving is never used again under the same
- * name, since a list that is read late may still show it as it was. Confined to the event
- * loop.
+ * The failure it is there for: an upstream crashes and starts again under its name before
+ * the list shows that it was gone. What was known of it, the layers it held above all, is
+ * no longer true, and an older entry that is read late would bring it back: requests go
+ * to an engine that holds nothing, and orders count from the wrong number.
+ * <p>
+ * Invariants: of one name, only the latest start that was heard of is known; it shares
+ * nothing with an earlier one. Addresses lead to whoever was listed last among the
+ * upstreams of a service. Confined to the event loop.
  */
 final class UpstreamDirectory {
 
+	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+	/**
+	 * Ends of starts that are remembered: those of a crash of every engine of a large
+	 * fleet.
+	 */
+	private static final int MOST_ENDED = 8192;
+
 	private final Map<String, UpstreamState> byId = new HashMap<>();
 
+	private final Map<String, UpstreamState> byIncarnation = new HashMap<>();
+
 	private final Map<String, UpstreamState> byAddress = new HashMap<>();
 
+	private final Set<String> ended = Collections.newSetFromMap(new LinkedHashMap<>() {
+
+		@Override
+		protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
+			return size() > MOST_ENDED;
+		}
+
+	});
+
 	private final Consumer<Upstream> left;
 
 	/**
@@ -58,39 +86,116 @@
 	}
 
 	private void put(Upstream upstream) {
-		UpstreamState state = this.byId.computeIfAbsent(upstream.id(), (id) -> new UpstreamState(upstream));
-		boolean leftNow = upstream.leaving() && !state.upstream().leaving();
-		state.update(upstream);
-		this.byAddress.put(upstream.address(), state);
+		UpstreamState known = this.byId.get(upstream.id());
+		if (known != null && known.upstream().bornAfter(upstream.bornMs())) {
+			logger.atWarning()
+				.log("event=upstream-outdated upstream=%s known=%s", upstream.incarnation(),
+						known.upstream().incarnation());
+			return;
+		}
+		if (known != null && upstream.bornAfter(known.upstream().bornMs())) {
+			end(known, upstream);
+			known = null;
+		}
+		if (known == null) {
+			add(upstream);
+			return;
+		}
+		boolean leftNow = upstream.leaving() && !known.upstream().leaving();
+		rename(known, upstream);
 		if (leftNow) {
 			this.left.accept(upstream);
 		}
 	}
 
+	private void add(Upstream upstream) {
+		UpstreamState state = new UpstreamState(upstream);
+		this.byId.put(upstream.id(), state);
+		this.byIncarnation.put(upstream.incarnation(), state);
+		this.byAddress.put(addressKey(upstream), state);
+	}
+
+	// The same start: an entry may come before it says when that was.
+	private void rename(UpstreamState state, Upstream newer) {
+		this.byIncarnation.remove(state.upstream().incarnation());
+		this.byAddress.remove(addressKey(state.upstream()), state);
+		state.update(newer);
+		this.byIncarnation.put(newer.incarnation(), state);
+		this.byAddress.put(addressKey(newer), state);
+	}
+
+	private void end(UpstreamState state, Upstream newer) {
+		Upstream before = state.upstream();
+		logger.atWarning()
+			.log("event=upstream-restarted upstream=%s before=%s held=%s", newer.incarnation(), before.incarnation(),
+					before.held());
+		this.ended.add(before.incarnation());
+		remove(before.id());
+	}
+
 	private void remove(String id) {
 		UpstreamState state = this.byId.remove(id);
 		if (state != null) {
-			this.byAddress.remove(state.upstream().address(), state);
+			this.byIncarnation.remove(state.upstream().incarnation());
+			this.byAddress.remove(addressKey(state.upstream()), state);
 			this.left.accept(state.upstream());
 		}
 	}
 
 	/**
-	 * An upstream by name.
-	 * @param id the name
-	 * @return its state, or {@code null}
+	 * Compares a report with the upstream that was asked, and learns of a new start where
+	 * the report is the first to tell.
+	 * @param asked the upstream as it was when it was asked
+	 * @param report what was answered
+	 * @return whether the report tells of the start that was asked
+	 */
+	boolean confirm(Upstream asked, EngineReport report) {
+		if (report.bornMs() == asked.bornMs() || report.bornMs() == Upstream.BORN_UNKNOWN
+				|| asked.bornMs() == Upstream.BORN_UNKNOWN) {
+			return true;
+		}
+		Upstream answering = asked.restarted(report.bornMs(), report.held());
+		if (answering.bornAfter(asked.bornMs()) && this.byIncarnation.containsKey(asked.incarnation())) {
+			put(answering);
+		}
+		return false;
+	}
+
+	/**
+	 * Whether an upstream has started again since.
+	 * @param incarnation the start that is asked about
+	 * @return whether a later start under the same name was heard of
 	 */
-	UpstreamState find(String id) {
-		return this.byId.get(id);
+	boolean ended(String incarnation) {
+		return this.ended.contains(incarnation);
+	}
+
+	/**
+	 * An upstream by its incarnation.
+	 * @param incarnation the incarnation
+	 * @return its state, or {@code null} where it is gone or has started again
+	 */
+	UpstreamState find(String incarnation) {
+		return this.byIncarnation.get(incarnation);
 	}
 
 	/**
 	 * An upstream by address.
+	 * @param service its service: an entry of a service that nobody calls may name the
+	 * same address
 	 * @param address the address
 	 * @return its state, or {@code null}
 	 */
-	UpstreamState findByAddress(String address) {
-		return this.byAddress.get(address);
+	UpstreamState findByAddress(String service, String address) {
+		return this.byAddress.get(addressKey(service, address));
+	}
+
+	private static String addressKey(Upstream upstream) {
+		return addressKey(upstream.service(), upstream.address());
+	}
+
+	private static String addressKey(String service, String address) {
+		return service + " " + address;
 	}
 
 	/**
@@ -111,7 +216,7 @@
 	/**
 	 * Memory of this process's requests at the engines where it is most.
 	 * @param most how many engines
-	 * @return tokens times layers, by the engine's name
+	 * @return tokens times layers, by the engine's incarnation
 	 */
 	Map<String, Long> busiest(int most) {
 		Map<String, Long> tokenLayers = new HashMap<>();
@@ -120,7 +225,7 @@
 			.filter((state) -> state.tokenLayers() > 0)
 			.sorted(Comparator.comparingLong(UpstreamState::tokenLayers).reversed())
 			.limit(most)
-			.forEach((state) -> tokenLayers.put(state.upstream().id(), state.tokenLayers()));
+			.forEach((state) -> tokenLayers.put(state.upstream().incarnation(), state.tokenLayers()));
 		return tokenLayers;
 	}
 
--- a/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamPool.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamPool.java
@@ -66,7 +66,7 @@
 	 * @param done takes it, or {@code null} where none could be made
 	 */
 	void acquire(Upstream upstream, boolean fresh, Consumer<UpstreamConnection> done) {
-		UpstreamConnection kept = fresh ? null : poll(upstream.id());
+		UpstreamConnection kept = fresh ? null : poll(upstream.incarnation());
 		if (kept != null) {
 			done.accept(kept);
 			return;
@@ -76,11 +76,11 @@
 
 	void giveBack(UpstreamConnection connection) {
 		connection.idleSince(this.ticker.nowMs());
-		this.idle.computeIfAbsent(connection.upstream().id(), (id) -> new ArrayDeque<>()).push(connection);
+		this.idle.computeIfAbsent(connection.upstream().incarnation(), (id) -> new ArrayDeque<>()).push(connection);
 	}
 
 	void forget(UpstreamConnection connection) {
-		Deque<UpstreamConnection> ofUpstream = this.idle.get(connection.upstream().id());
+		Deque<UpstreamConnection> ofUpstream = this.idle.get(connection.upstream().incarnation());
 		if (ofUpstream != null) {
 			ofUpstream.remove(connection);
 		}
--- a/whinjunction-router/src/test/java/io/whinjunction/router/UpstreamDirectoryTests.java
+++ b/whinjunction-router/src/test/java/io/whinjunction/router/UpstreamDirectoryTests.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 
+import io.whinjunction.configuration.LayerRange;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -43,7 +44,84 @@
 		this.directory.replace(List.of(upstream("1", "a:1", false)));
 		this.directory.change(new UpstreamChanges(List.of(upstream("2", "a:1", false)), List.of("1"), 2));
 
-		assertThat(this.directory.findByAddress("a:1").upstream().id()).isEqualTo("2");
+		assertThat(this.directory.findByAddress("s", "a:1").upstream().id()).isEqualTo("2");
+	}
+
+	// Drafts are sent to an engine that holds nothing, one after the other: it crashed
+	// and
+	// started again under its name before the list showed that it was gone, and its room,
+	// suspicions and connections were still those of before.
+	@Test
+	void anEngineThatStartsAgainUnderItsNameSharesNothingWithItsEarlierStart() {
+		this.directory.replace(List.of(engine(1_000, new LayerRange(0, 40))));
+		UpstreamState before = this.directory.find("e@1000");
+		before.began(10);
+		before.avoidUntil(Long.MAX_VALUE);
+
+		this.directory.change(new UpstreamChanges(List.of(engine(2_000, null)), List.of(), 2));
+
+		assertThat(this.directory.find("e@1000")).isNull();
+		assertThat(this.directory.ended("e@1000")).isTrue();
+		assertThat(this.directory.ended("e@2000")).isFalse();
+		assertThat(this.left).containsExactly("e");
+		UpstreamState after = this.directory.find("e@2000");
+		assertThat(after.upstream().held()).isNull();
+		assertThat(after.tokenLayers()).isZero();
+		assertThat(after.avoided(0)).isFalse();
+		assertThat(this.directory.findByAddress("s", "a:1")).isSameAs(after);
+	}
+
+	// The new start is forgotten again, and with it the layers that it was ordered to
+	// hold: an entry that its earlier start wrote comes after the later one's.
+	@Test
+	void anEntryOfAnEarlierStartThatComesLaterChangesNothing() {
+		this.directory.replace(List.of(engine(2_000, new LayerRange(40, 80))));
+
+		this.directory.change(new UpstreamChanges(List.of(engine(1_000, new LayerRange(0, 40))), List.of(), 2));
+
+		assertThat(this.directory.find("e@2000").upstream().held()).isEqualTo(new LayerRange(40, 80));
+		assertThat(this.left).isEmpty();
+	}
+
+	// The list is a heartbeat late, and an engine that was asked is the first to tell.
+	@Test
+	void aReportOfANewStartIsBelievedBeforeTheListShowsIt() {
+		Upstream asked = engine(1_000, new LayerRange(0, 40));
+		this.directory.replace(List.of(asked));
+
+		boolean same = this.directory.confirm(asked, report(2_000, null));
+		this.directory.replace(List.of(asked));
+
+		assertThat(same).isFalse();
+		assertThat(this.directory.find("e@2000").upstream().held()).isNull();
+		assertThat(this.directory.find("e@1000")).isNull();
+	}
+
+	@Test
+	void aReportOfAnEarlierStartIsNoWordOfTheEngine() {
+		Upstream asked = engine(2_000, new LayerRange(0, 40));
+		this.directory.replace(List.of(asked));
+
+		assertThat(this.directory.confirm(asked, report(1_000, null))).isFalse();
+		assertThat(this.directory.find("e@2000").upstream()).isEqualTo(asked);
+	}
+
+	@Test
+	void whereNobodySaysWhenItStartedTheNameAloneCounts() {
+		Upstream asked = engine(Upstream.BORN_UNKNOWN, new LayerRange(0, 40));
+		this.directory.replace(List.of(asked));
+
+		assertThat(this.directory.confirm(asked, report(1_000, null))).isTrue();
+		assertThat(this.directory.find("e").upstream()).isEqualTo(asked);
+	}
+
+	@Test
+	void anEntryOfAnotherServiceDoesNotTakeAnAddressOver() {
+		this.directory.replace(List.of(upstream("1", "a:1", false)));
+		this.directory.change(new UpstreamChanges(
+				List.of(new Upstream("x", 5, "nobody-calls", "a:1", "d", 4, null, null, false)), List.of(), 2));
+
+		assertThat(this.directory.findByAddress("s", "a:1").upstream().id()).isEqualTo("1");
 	}
 
 	@Test
@@ -56,7 +134,15 @@
 	}
 
 	private static Upstream upstream(String id, String address, boolean leaving) {
-		return new Upstream(id, "s", address, "d", 4, null, null, leaving);
+		return new Upstream(id, Upstream.BORN_UNKNOWN, "s", address, "d", 4, null, null, leaving);
+	}
+
+	private static Upstream engine(long bornMs, LayerRange held) {
+		return new Upstream("e", bornMs, "s", "a:1", "d", 4, "large", held, false);
+	}
+
+	private static EngineReport report(long bornMs, LayerRange held) {
+		return new EngineReport(bornMs, held, false, 0, 0, 0, 0, 0, 1, List.of());
 	}
 
 }
