A large fleet asks the store less: the holder's word is passed on, changes are gathered, looks wait

A router hears some 36 others in the time after which one counts as silent, so most of 88 never hear the lease's holder and read the lease 2.5 times a second; each change of the list ends the watches of all; the configuration was read each second whatever the bound; each router woke 50 times a second to look at streams that went on; and room taken by routers that can't be heard in time was left out. Change: the age of the holder's last word travels with each message; the pause between watches grows with the fleet, within what a leaving upstream allows; the period of reads comes from the bound; a look is due when a stream could be late; unheard routers count like the heard ones.

--- a/whinjunction-router/src/main/java/io/whinjunction/router/ConfigurationKeeper.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/ConfigurationKeeper.java
@@ -14,9 +14,8 @@
  * Keeps the newest configuration in force and proves that it is the newest.
  * <p>
  * One linearizable read does both. It is repeated where no other router has proved the
- * same version for {@link #PERIOD_MS}, which is half of the time within which an accepted
- * configuration has to be in force; so the fleet reads about once a period, not each
- * router.
+ * same version for half of the time within which an accepted configuration has to be in
+ * force; so the fleet reads about once a period, not each router.
  * <p>
  * Invariant: the version in force never goes down. Confined to the event loop.
  */
@@ -24,11 +23,14 @@
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-	/** The pause between reads that succeed, in milliseconds. */
-	private static final long PERIOD_MS = 1000;
+	/**
+	 * The pause between reads that succeed, as a part of the time within which an
+	 * accepted configuration has to be in force.
+	 */
+	private static final double PERIOD_PART = 0.5;
 
-	/** What is added to the pause by chance, in milliseconds. */
-	private static final long SPREAD_MS = 250;
+	/** What is added to the pause by chance, as a part of the same time. */
+	private static final double SPREAD_PART = 0.125;
 
 	/** The pause after a read that failed, in milliseconds: a few calls a second. */
 	private static final long RETRY_MS = 250;
@@ -37,6 +39,10 @@
 
 	private final FleetStore store;
 
+	private final long periodMs;
+
+	private final long spreadMs;
+
 	private final ConfigurationProof proof;
 
 	private final BootClock boot;
@@ -63,9 +69,14 @@
 	 * @param store where the configuration is
 	 * @param proof what to keep fresh
 	 * @param boot the clock of proofs
+	 * @param inForceMs within which time an accepted configuration must be in force, in
+	 * milliseconds
 	 * @param changed is run after each change
 	 */
-	ConfigurationKeeper(EventLoop loop, FleetStore store, ConfigurationProof proof, BootClock boot, Runnable changed) {
+	ConfigurationKeeper(EventLoop loop, FleetStore store, ConfigurationProof proof, BootClock boot, long inForceMs,
+			Runnable changed) {
+		this.periodMs = (long) (PERIOD_PART * inForceMs);
+		this.spreadMs = Math.max(1, (long) (SPREAD_PART * inForceMs));
 		this.changed = changed;
 		this.loop = loop;
 		this.store = store;
@@ -142,7 +153,7 @@
 		if (reply instanceof StoreReply.Found<ConfigurationDocument> found) {
 			noteTouch(true, "read");
 			offer(found.value(), askedAtMs);
-			pauseMs = PERIOD_MS;
+			pauseMs = this.periodMs;
 		}
 		else {
 			noteTouch(false, reply.toString());
@@ -155,10 +166,10 @@
 
 	private void readUnlessProved() {
 		long ageMs = this.proof.ageMs(this.boot.nowMs());
-		if (ageMs < PERIOD_MS) {
+		if (ageMs < this.periodMs) {
 			// Another router has read meanwhile; the pause goes on from there, and a part
 			// by chance keeps routers from reading together.
-			long pauseMs = PERIOD_MS - ageMs + this.random.nextLong(SPREAD_MS);
+			long pauseMs = this.periodMs - ageMs + this.random.nextLong(this.spreadMs);
 			this.next = this.loop.schedule(this::readUnlessProved, pauseMs, TimeUnit.MILLISECONDS);
 			return;
 		}
--- a/whinjunction-router/src/main/java/io/whinjunction/router/DirectoryKeeper.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/DirectoryKeeper.java
@@ -1,6 +1,7 @@
 package io.whinjunction.router;
 
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 
 import com.google.common.flogger.FluentLogger;
 import io.netty.channel.EventLoop;
@@ -22,13 +23,6 @@
 	 */
 	private static final long WATCH_MS = 15_000;
 
-	/**
-	 * The pause between a change and the next watch, in milliseconds. A watch ends with
-	 * its first change, and in a burst each would be a call of its own: 48 at a start
-	 * with 40 upstreams. A fifth of what a leaving upstream may take to be noticed.
-	 */
-	private static final long GATHER_MS = 400;
-
 	/** The pause after a call that failed, in milliseconds. */
 	private static final long RETRY_MS = 250;
 
@@ -40,6 +34,8 @@
 
 	private final Runnable changed;
 
+	private final LongSupplier pauseMs;
+
 	private long revision;
 
 	private boolean listed;
@@ -52,8 +48,11 @@
 	 * @param store where the list is
 	 * @param directory what to keep
 	 * @param changed is run after each change
+	 * @param pauseMs the pause between a change and the next watch, in milliseconds
 	 */
-	DirectoryKeeper(EventLoop loop, FleetStore store, UpstreamDirectory directory, Runnable changed) {
+	DirectoryKeeper(EventLoop loop, FleetStore store, UpstreamDirectory directory, Runnable changed,
+			LongSupplier pauseMs) {
+		this.pauseMs = pauseMs;
 		this.loop = loop;
 		this.store = store;
 		this.directory = directory;
@@ -109,7 +108,7 @@
 								found.value().changed().size(), found.value().removed(), this.revision);
 					this.changed.run();
 				}
-				this.loop.schedule(this::watch, GATHER_MS, TimeUnit.MILLISECONDS);
+				this.loop.schedule(this::watch, this.pauseMs.getAsLong(), TimeUnit.MILLISECONDS);
 			}
 			case StoreReply.Outdated<UpstreamChanges> ignored -> {
 				logger.atWarning().log("event=watch-outdated revision=%d", this.revision);
--- a/whinjunction-router/src/main/java/io/whinjunction/router/EngineWatch.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/EngineWatch.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.TimeUnit;
 
 import com.google.common.flogger.FluentLogger;
+import io.netty.util.concurrent.ScheduledFuture;
 import io.whinjunction.chain.Hop;
 import io.whinjunction.chain.PathFinder;
 
@@ -32,9 +33,15 @@
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-	/** The pause between two looks, in milliseconds: a tenth of a promised pause. */
+	/**
+	 * The pause between two looks while a stream is late or an engine suspect, in
+	 * milliseconds: a tenth of a promised pause.
+	 */
 	private static final long PERIOD_MS = 20;
 
+	/** The longest pause between two looks, in milliseconds, while there are streams. */
+	private static final long LONGEST_PERIOD_MS = 100;
+
 	/** An engine answers in a few milliseconds; in this time even a slowed one does. */
 	private static final long ANSWER_MS = 80;
 
@@ -81,7 +88,10 @@
 
 	private final Map<String, Suspicion> suspicions = new HashMap<>();
 
-	private long lookedAtMs;
+	/** The look to come; {@code null} while there is nothing to look at. */
+	private ScheduledFuture<?> nextLook;
+
+	private long nextLookAtMs;
 
 	private long delayMs;
 
@@ -101,12 +111,22 @@
 		this.news = news;
 	}
 
-	void start() {
-		this.router.loop().scheduleAtFixedRate(this::look, PERIOD_MS, PERIOD_MS, TimeUnit.MILLISECONDS);
-	}
-
 	void add(Attempt stream) {
 		this.streams.add(stream);
+		lookIn(LONGEST_PERIOD_MS);
+	}
+
+	private void lookIn(double pauseMs) {
+		long waitMs = Math.clamp((long) Math.ceil(pauseMs), PERIOD_MS, LONGEST_PERIOD_MS);
+		long atMs = this.router.nowMs() + waitMs;
+		if (this.nextLook != null && this.nextLookAtMs <= atMs) {
+			return;
+		}
+		if (this.nextLook != null) {
+			this.nextLook.cancel(false);
+		}
+		this.nextLookAtMs = atMs;
+		this.nextLook = this.router.loop().schedule(this::look, waitMs, TimeUnit.MILLISECONDS);
 	}
 
 	void remove(Attempt stream) {
@@ -147,10 +167,12 @@
 
 	private void look() {
 		measureDelay();
+		this.nextLook = null;
 		if (this.streams.isEmpty() && this.suspicions.isEmpty()) {
 			return;
 		}
 		Map<Attempt, StallRules.Pause> pauses = pauses();
+		lookIn(this.suspicions.isEmpty() ? untilLateMs(pauses) : PERIOD_MS);
 		moveFromSuspects(pauses);
 		Round round = new Round();
 		StallRules.standing(pauses.values()).forEach(round::ask);
@@ -169,10 +191,13 @@
 		}
 	}
 
+	private static double untilLateMs(Map<Attempt, StallRules.Pause> pauses) {
+		return pauses.values().stream().mapToDouble(StallRules::untilLateMs).min().orElse(LONGEST_PERIOD_MS);
+	}
+
 	private void measureDelay() {
 		long nowMs = this.router.nowMs();
-		long lateMs = (this.lookedAtMs > 0) ? nowMs - this.lookedAtMs - PERIOD_MS : 0;
-		this.lookedAtMs = nowMs;
+		long lateMs = nowMs - this.nextLookAtMs;
 		if (lateMs >= this.delayMs || nowMs - this.delayedAtMs > DELAY_REMEMBERED_MS) {
 			this.delayMs = Math.max(0, lateMs);
 			this.delayedAtMs = nowMs;
@@ -232,6 +257,7 @@
 		}
 		Suspicion suspicion = this.suspicions.computeIfAbsent(upstream.incarnation(), (id) -> new Suspicion(upstream));
 		suspicion.unanswered++;
+		lookIn(PERIOD_MS);
 		state.avoidUntil(this.router.nowMs() + AVOID_MS);
 		if (suspicion.unanswered <= LOST_AFTER) {
 			logger.atWarning()
--- a/whinjunction-router/src/main/java/io/whinjunction/router/PeerCodec.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/PeerCodec.java
@@ -32,7 +32,7 @@
 		RouterStatus message = new RouterStatus(status.name(), status.address(), status.failureDomain(),
 				status.sequence(), status.answer(), status.version(), status.proofAgeMs(), status.suspects(),
 				status.tokenLayersByEngine(), status.routers(), status.leaving(), status.paceByEngine(),
-				status.leading());
+				status.leading(), status.leaderAgeMs());
 		try {
 			return this.serializer.serialize(message);
 		}
@@ -61,7 +61,7 @@
 		return Optional.of(new PeerStatus(message.getName(), message.getAddress(), message.getFailureDomain(),
 				message.getSequence(), message.isAnswer(), message.getVersion(), message.getProofAgeMs(),
 				message.getSuspects(), message.getTokenLayersByEngine(), message.getRouters(), message.isLeaving(),
-				message.getPaceByEngine(), message.isLeading()));
+				message.getPaceByEngine(), message.isLeading(), message.getLeaderAgeMs()));
 	}
 
 }
--- a/whinjunction-router/src/main/java/io/whinjunction/router/PeerLink.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/PeerLink.java
@@ -28,10 +28,10 @@
 	/**
 	 * The pause between questions, in milliseconds: several in the time of a suspicion.
 	 */
-	private static final long PERIOD_MS = 250;
+	static final long PERIOD_MS = 250;
 
 	/** Routers asked each period; the load of one does not grow with the fleet. */
-	private static final int FANOUT = 3;
+	static final int FANOUT = 3;
 
 	/** Routers told at once of something urgent. */
 	private static final int URGENT_FANOUT = 12;
--- a/whinjunction-router/src/main/java/io/whinjunction/router/PeerStatus.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/PeerStatus.java
@@ -21,10 +21,12 @@
  * @param leaving whether it is about to stop
  * @param paceByEngine how many times slower than usual engines work, by incarnation
  * @param leading whether it holds the lease under which layers are ordered
+ * @param leaderAgeMs the age of the newest word from whoever holds that lease, in
+ * milliseconds; -1 where none was heard
  */
 record PeerStatus(String name, String address, String failureDomain, long sequence, boolean answer, long version,
 		long proofAgeMs, List<String> suspects, Map<String, Long> tokenLayersByEngine, List<String> routers,
-		boolean leaving, Map<String, Double> paceByEngine, boolean leading) {
+		boolean leaving, Map<String, Double> paceByEngine, boolean leading, long leaderAgeMs) {
 
 	PeerStatus {
 		suspects = List.copyOf(suspects);
--- a/whinjunction-router/src/main/java/io/whinjunction/router/PeerTable.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/PeerTable.java
@@ -30,9 +30,17 @@
 	/** Routers are remembered this long for shares that must not grow by a cut. */
 	private static final long REMEMBERED_MS = 60_000;
 
+	/**
+	 * How many routers one can hear before they count as silent, by its own questions and
+	 * others' to it.
+	 */
+	private static final double MOST_HEARD = 2.0 * PeerLink.FANOUT * SILENT_MS / PeerLink.PERIOD_MS;
+
 	/** Bounds a message whatever the fleet's size. */
 	private static final int MOST_ROUTERS_TOLD = 8;
 
+	private static final long NEVER_MS = Long.MIN_VALUE / 2;
+
 	private final String self;
 
 	private final RandomGenerator random;
@@ -43,6 +51,10 @@
 
 	private long sequence;
 
+	private long leaderHeardAtMs = NEVER_MS;
+
+	private long leaderLeftAtMs = NEVER_MS;
+
 	/**
 	 * A table.
 	 * @param self this router's own address, which is never asked
@@ -89,6 +101,7 @@
 		Peer peer = this.byAddress.computeIfAbsent(status.address(), (ignored) -> new Peer());
 		peer.status = status;
 		peer.heardAtMs = nowMs;
+		hearOfLeader(status, nowMs);
 		addresses(status.routers());
 	}
 
@@ -142,9 +155,14 @@
 
 	/**
 	 * Memory that other routers' requests take up at an engine.
-	 * @param engineId the engine's name
+	 * <p>
+	 * The load it answers: of a large fleet, a router hears a part in the time after
+	 * which the rest counts as silent. Adding up that part alone, 88 routers took an
+	 * engine for less than half as full as it was. Those that can't have been heard are
+	 * taken for alike to those that were.
+	 * @param engineId the engine's incarnation
 	 * @param nowMs the time
-	 * @return tokens times layers, the sum of what they said last
+	 * @return tokens times layers, by what they said last
 	 */
 	long tokenLayersAt(String engineId, long nowMs) {
 		long sum = 0;
@@ -153,18 +171,44 @@
 				sum += peer.status.tokenLayersByEngine().getOrDefault(engineId, 0L);
 			}
 		}
-		return sum;
+		return (long) (sum * Math.max(1, this.byAddress.size() / MOST_HEARD));
+	}
+
+	private void hearOfLeader(PeerStatus status, long nowMs) {
+		if (status.leading() && status.leaving()) {
+			// It gives the lease up: somebody has to look for it at once, whatever is
+			// still passed on of earlier words.
+			this.leaderLeftAtMs = nowMs;
+		}
+		else if (status.leading()) {
+			this.leaderHeardAtMs = nowMs;
+		}
+		else if (status.leaderAgeMs() >= 0) {
+			this.leaderHeardAtMs = Math.max(this.leaderHeardAtMs, nowMs - status.leaderAgeMs());
+		}
 	}
 
 	/**
-	 * Whether another router said a moment ago that it holds the lease.
+	 * The age of the newest word from whoever holds the lease.
+	 * @param nowMs the time
+	 * @return milliseconds; -1 where none is younger than {@link #SILENT_MS}
+	 */
+	long leaderAgeMs(long nowMs) {
+		return hasLeader(nowMs) ? nowMs - this.leaderHeardAtMs : -1;
+	}
+
+	/**
+	 * Whether another router said a moment ago that it holds the lease, or was heard to
+	 * by others.
+	 * <p>
+	 * The load it answers: a router hears some 36 others in the time after which one
+	 * counts as silent. Of 88, most don't hear the holder itself, and each of those read
+	 * the lease twice a second.
 	 * @param nowMs the time
 	 * @return whether nobody else needs to look for it
 	 */
 	boolean hasLeader(long nowMs) {
-		return this.byAddress.values()
-			.stream()
-			.anyMatch((peer) -> alive(peer, nowMs) && peer.status.leading() && !peer.status.leaving());
+		return nowMs - this.leaderHeardAtMs < SILENT_MS && this.leaderHeardAtMs > this.leaderLeftAtMs;
 	}
 
 	/**
--- a/whinjunction-router/src/main/java/io/whinjunction/router/Router.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/Router.java
@@ -140,13 +140,14 @@
 		this.store = ports.store();
 		this.engines = ports.engines();
 		this.configurationKeeper = new ConfigurationKeeper(this.loop, ports.store(), this.proof, boot,
-				this::listenWhenKnown);
+				settings.bounds().configurationMs(), this::listenWhenKnown);
 		this.leadership = new Leadership(this.loop, ports.store(), settings.name(), this.ticker,
 				() -> peers().hasLeader(nowMs()));
 		this.layerKeeper = new LayerKeeper(this, ports.engines(), this.leadership);
 		this.chooser = new TargetChooser(this.directory, this.peers, this.layerKeeper.paces(),
 				settings.failureDomain());
-		this.directoryKeeper = new DirectoryKeeper(this.loop, ports.store(), this.directory, this::directoryChanged);
+		this.directoryKeeper = new DirectoryKeeper(this.loop, ports.store(), this.directory, this::directoryChanged,
+				() -> WatchPause.ms(this.peers.sharers(nowMs()), settings.bounds().drainMs()));
 	}
 
 	/**
@@ -158,7 +159,6 @@
 		this.directoryKeeper.start();
 		this.leadership.start();
 		this.layerKeeper.start();
-		this.watch.start();
 		Channel peerChannel = this.peerLink.start(this.settings.peers());
 		this.closer.register(peerChannel::close);
 		PeerDocuments documents = new PeerDocuments(this.configurationKeeper::document,
@@ -216,7 +216,7 @@
 		return new PeerStatus(this.settings.name(), text(this.settings.peers()), this.settings.failureDomain(),
 				sequence, answer, version, (ageMs < this.settings.bounds().keysMs()) ? ageMs : -1,
 				this.watch.suspects(), this.directory.busiest(MOST_ENGINES_TOLD), this.peers.toTell(nowMs()),
-				stopping(), this.layerKeeper.paces(), this.leadership.holds());
+				stopping(), this.layerKeeper.paces(), this.leadership.holds(), this.peers.leaderAgeMs(nowMs()));
 	}
 
 	private void peerHeard(PeerStatus status) {
--- a/whinjunction-router/src/main/java/io/whinjunction/router/RouterSettings.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/RouterSettings.java
@@ -27,9 +27,11 @@
 	 * @param repeatRatio repeats for each request that all routers may send to a service
 	 * @param repeatSlack repeats besides, over all routers in a window
 	 * @param repeatWindowMs the window, in milliseconds
+	 * @param drainMs how long an upstream that leaves still serves what is sent to it, in
+	 * milliseconds
 	 */
 	public record Bounds(long keysMs, long configurationMs, long graceMs, double repeatRatio, double repeatSlack,
-			long repeatWindowMs) {
+			long repeatWindowMs, long drainMs) {
 	}
 
 }
--- a/whinjunction-router/src/main/java/io/whinjunction/router/StallRules.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/StallRules.java
@@ -122,7 +122,25 @@
 	}
 
 	private static boolean lateTogether(Pause pause) {
-		return pause.quietMs() > Math.clamp(TOGETHER_GAPS * pause.usualGapMs(), LEAST_TOGETHER_MS, MOST_TOGETHER_MS);
+		return pause.quietMs() > togetherMs(pause);
+	}
+
+	private static double togetherMs(Pause pause) {
+		return Math.clamp(TOGETHER_GAPS * pause.usualGapMs(), LEAST_TOGETHER_MS, MOST_TOGETHER_MS);
+	}
+
+	/**
+	 * When a stream could next be late, if nothing comes of it until then.
+	 * <p>
+	 * The load it answers: thousands of streams that go on as usual. A look each 20 ms
+	 * woke each of 88 routers 50 times a second for nothing.
+	 * @param pause the stream's pause
+	 * @return milliseconds from now; 0 where it is late already
+	 */
+	static double untilLateMs(Pause pause) {
+		double limitMs = pause.begun() ? togetherMs(pause)
+				: Math.clamp(ALONE_GAPS * pause.usualGapMs(), LEAST_ALONE_MS, MOST_ALONE_MS);
+		return Math.max(0, limitMs - pause.quietMs());
 	}
 
 	/**
--- a/whinjunction-router/src/test/java/io/whinjunction/router/PeerTableTests.java
+++ b/whinjunction-router/src/test/java/io/whinjunction/router/PeerTableTests.java
@@ -1,5 +1,6 @@
 package io.whinjunction.router;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -72,9 +73,55 @@
 		assertThat(codec.decode(new byte[] { 1, 2, 3 })).isEmpty();
 	}
 
+	// The store is asked for the lease twice a second by most of 88 routers, since each
+	// hears
+	// only some of the others and seldom the holder. The word of it is passed on, with
+	// its
+	// age, and grows old like one's own.
+	@Test
+	void theHoldersWordIsPassedOnWithItsAge() {
+		this.table.heard(ofLeader("10.0.0.2:1", false, false, 600), 1_000);
+
+		assertThat(this.table.hasLeader(1_000)).isTrue();
+		assertThat(this.table.leaderAgeMs(1_100)).isEqualTo(700);
+		assertThat(this.table.hasLeader(400 + PeerTable.SILENT_MS)).isFalse();
+		assertThat(this.table.leaderAgeMs(400 + PeerTable.SILENT_MS)).isEqualTo(-1);
+	}
+
+	@Test
+	void aHolderThatLeavesIsLookedForAtOnceWhateverOthersStillPassOn() {
+		this.table.heard(ofLeader("10.0.0.2:1", true, false, -1), 1_000);
+		this.table.heard(ofLeader("10.0.0.2:1", true, true, -1), 1_100);
+		this.table.heard(ofLeader("10.0.0.3:1", false, false, 150), 1_200);
+
+		assertThat(this.table.hasLeader(1_200)).isFalse();
+
+		this.table.heard(ofLeader("10.0.0.3:1", false, false, 50), 1_300);
+		assertThat(this.table.hasLeader(1_300)).isTrue();
+	}
+
+	// Of 88 routers, 36 are heard in time; each has 100 at the engine, so that 8,700 are
+	// taken there by the others and not 3,600.
+	@Test
+	void routersThatCanNotBeHeardInTimeCountLikeTheOthers() {
+		List<String> known = new ArrayList<>();
+		for (int index = 2; index < 89; index++) {
+			known.add("10.0.0." + index + ":1");
+		}
+		this.table.addresses(known);
+		known.subList(0, 36).forEach((address) -> this.table.heard(ofLeader(address, false, false, -1), 1_000));
+
+		assertThat(this.table.tokenLayersAt("e1", 1_000)).isBetween(8_600L, 8_800L);
+	}
+
 	private static PeerStatus status(String address, long sequence, boolean answer, long proofAgeMs) {
 		return new PeerStatus("n", address, "a", sequence, answer, 4, proofAgeMs, List.of("10.1.1.1:80"),
-				Map.of("e1", 100L), List.of("10.0.0.9:1"), false, Map.of("e1", 3.0), true);
+				Map.of("e1", 100L), List.of("10.0.0.9:1"), false, Map.of("e1", 3.0), true, -1);
+	}
+
+	private static PeerStatus ofLeader(String address, boolean leading, boolean leaving, long leaderAgeMs) {
+		return new PeerStatus("n", address, "a", 1, false, 4, 0, List.of(), Map.of("e1", 100L), List.of(), leaving,
+				Map.of(), leading, leaderAgeMs);
 	}
 
 }
--- a/whinjunction-router/src/test/java/io/whinjunction/router/StallRulesTests.java
+++ b/whinjunction-router/src/test/java/io/whinjunction/router/StallRulesTests.java
@@ -96,6 +96,17 @@
 		assertThat(StallRules.conclusive(82, 80, 60)).isFalse();
 	}
 
+	// Each of 88 routers was woken 50 times a second for streams that went on as usual. A
+	// look is needed when the first of them could be late, and at once where one is.
+	@Test
+	void theNextLookIsDueWhenAStreamCouldBeLate() {
+		List<String> path = List.of("a", "b");
+
+		assertThat(StallRules.untilLateMs(new StallRules.Pause(path, true, 40, 10))).isEqualTo(62);
+		assertThat(StallRules.untilLateMs(new StallRules.Pause(path, true, 40, 500))).isZero();
+		assertThat(StallRules.untilLateMs(new StallRules.Pause(path, false, Double.MAX_VALUE, 100))).isEqualTo(300);
+	}
+
 	@Test
 	void aStreamThatStillGetsEventsStaysWhereItIs() {
 		assertThat(StallRules.waits(pause(40, "a"))).isFalse();
--- /dev/null
+++ b/whinjunction-router/src/test/java/io/whinjunction/router/WatchPauseTests.java
@@ -0,0 +1,36 @@
+package io.whinjunction.router;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * How often routers watch the list of upstreams while it changes all the time.
+ */
+class WatchPauseTests {
+
+	private static final long DRAIN_MS = 3000;
+
+	@Test
+	void aSmallFleetHearsOfChangesSoon() {
+		assertThat(WatchPause.ms(1, DRAIN_MS)).isEqualTo(400);
+		assertThat(WatchPause.ms(9, DRAIN_MS)).isEqualTo(400);
+	}
+
+	// A store that allows a few thousand calls a second is asked 220 times a second by 88
+	// routers for the list alone, and each call has its price.
+	@Test
+	void aLargeFleetCallsLessThanAHundredTimesASecond() {
+		assertThat(88 * 1000.0 / WatchPause.ms(88, DRAIN_MS)).isLessThan(100);
+	}
+
+	// A caller's request is sent to an upstream that has gone: the pause must end while a
+	// leaving upstream still serves, at any size.
+	@Test
+	void aLeavingUpstreamIsNoticedBeforeHalfOfItsTimeIsOver() {
+		for (int routers = 1; routers < 1000; routers++) {
+			assertThat(WatchPause.ms(routers, DRAIN_MS)).isLessThan(DRAIN_MS / 2);
+		}
+	}
+
+}
