whin losses: routers' logs tell which requests were not on time, each with one cause

The request's line now has what it was promised (first event, pause) and where it went; the command groups losses by cause, kind, failure domain or second, or lists them with their evidence. Requests whose router was killed leave no line and are not in it.

--- /dev/null
+++ b/whinjunction-cli/src/main/java/io/whinjunction/cli/LossesCommand.java
@@ -0,0 +1,106 @@
+package io.whinjunction.cli;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Function;
+import java.util.stream.Stream;
+
+import com.github.rvesse.airline.annotations.Arguments;
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.Option;
+import com.github.rvesse.airline.annotations.restrictions.AllowedRawValues;
+import io.whinjunction.loss.Loss;
+import io.whinjunction.loss.LossAccount;
+
+/**
+ * Tells from routers' logs which requests were not on time, and why: the morning after,
+ * without asking any process.
+ */
+@Command(name = "losses", description = "Tells from routers' logs why requests were not on time; " + ExitCode.HELP)
+public final class LossesCommand extends WhinCommand {
+
+	/** Up to the second of a time such as {@code 2026-05-14T17:15:00.213Z}. */
+	private static final int SECOND_LENGTH = 19;
+
+	@Arguments(title = "FILE", description = "Logs of routers, one or more")
+	private List<String> files = new ArrayList<>();
+
+	@Option(name = "--by", title = "GROUP", description = "cause, kind, domain, second or request; default cause")
+	@AllowedRawValues(allowedValues = { "cause", "kind", "domain", "second", "request" })
+	private String by = "cause";
+
+	@Override
+	ExitCode execute() {
+		if (this.files.isEmpty()) {
+			throw new UsageException("a router's log is needed: whin losses FILE...");
+		}
+		LossAccount account = new LossAccount();
+		for (String file : this.files) {
+			read(account, file);
+		}
+		if (this.by.equals("request")) {
+			print(List.of("time", "request", "kind", "cause", "domain", "evidence"), requests(account));
+		}
+		else {
+			print(List.of(this.by, "losses", "of-100-requests"), groups(account));
+		}
+		return ExitCode.OK;
+	}
+
+	private static void read(LossAccount account, String file) {
+		try (Stream<String> lines = Files.lines(Path.of(file))) {
+			lines.forEach(account::read);
+		}
+		catch (IOException ex) {
+			throw new UsageException(file + " can't be read: " + ex.getMessage());
+		}
+	}
+
+	private static List<Map<String, Object>> requests(LossAccount account) {
+		List<Map<String, Object>> rows = new ArrayList<>();
+		for (Loss loss : account.losses()) {
+			Map<String, Object> row = new LinkedHashMap<>();
+			row.put("time", loss.time());
+			row.put("request", loss.requestId());
+			row.put("kind", loss.kind());
+			row.put("cause", loss.cause());
+			row.put("domain", loss.domain());
+			row.put("evidence", loss.evidence());
+			rows.add(row);
+		}
+		return rows;
+	}
+
+	private List<Map<String, Object>> groups(LossAccount account) {
+		Map<String, Integer> counts = new TreeMap<>();
+		account.losses().forEach((loss) -> counts.merge(group().apply(loss), 1, Integer::sum));
+		List<Map<String, Object>> rows = new ArrayList<>();
+		counts.forEach((group, count) -> rows.add(row(group, count, account.requests())));
+		rows.add(row("all", account.losses().size(), account.requests()));
+		return rows;
+	}
+
+	private Map<String, Object> row(String group, int count, long requests) {
+		Map<String, Object> row = new LinkedHashMap<>();
+		row.put(this.by, group);
+		row.put("losses", count);
+		row.put("of-100-requests", "%.1f".formatted(100.0 * count / Math.max(1, requests)));
+		return row;
+	}
+
+	private Function<Loss, String> group() {
+		return switch (this.by) {
+			case "kind" -> Loss::kind;
+			case "domain" -> Loss::domain;
+			case "second" -> (loss) -> loss.time().substring(0, Math.min(SECOND_LENGTH, loss.time().length()));
+			default -> (loss) -> loss.cause().name();
+		};
+	}
+
+}
--- a/whinjunction-cli/src/main/java/io/whinjunction/cli/WhinMain.java
+++ b/whinjunction-cli/src/main/java/io/whinjunction/cli/WhinMain.java
@@ -11,7 +11,8 @@
 @Cli(name = "whin", description = "Checks, applies and explains the configuration of whinjunction",
 		defaultCommand = Help.class,
 		commands = { Help.class, CheckCommand.class, DiffCommand.class, ApplyCommand.class, StatusCommand.class,
-				ServicesCommand.class, UpstreamsCommand.class, DrainCommand.class, ExplainCommand.class })
+				ServicesCommand.class, UpstreamsCommand.class, DrainCommand.class, ExplainCommand.class,
+				LossesCommand.class })
 public final class WhinMain {
 
 	private WhinMain() {
--- a/whinjunction-cli/src/test/java/io/whinjunction/cli/WhinMainTests.java
+++ b/whinjunction-cli/src/test/java/io/whinjunction/cli/WhinMainTests.java
@@ -112,6 +112,24 @@
 		assertThat(this.err.toString()).contains("nothing was changed");
 	}
 
+	@Test
+	void lossesOfALogAreGroupedByTheirCause() throws IOException {
+		Path log = this.folder.resolve("router.log");
+		Files.writeString(log,
+				"""
+						time=2026-05-14T17:15:00.213Z event=request id=a outcome=answered first-ms=40 gap-ms=60 aim-ms=500 gap-aim-ms=200
+						time=2026-05-14T17:15:01.213Z event=request id=b outcome=answered first-ms=40 gap-ms=260 aim-ms=500 gap-aim-ms=200
+						time=2026-05-14T17:15:02.213Z event=request id=c outcome=refused reason=no-upstream
+						""");
+
+		assertThat(WhinMain.run("losses", log.toString())).isZero();
+
+		assertThat(this.out.toString(StandardCharsets.UTF_8)).containsPattern("SLOW_PAUSE +1 +33.3")
+			.containsPattern("REFUSED +1 +33.3")
+			.containsPattern("all +2 +66.7");
+		assertThat(WhinMain.run("losses", this.folder.resolve("none").toString())).isEqualTo(2);
+	}
+
 	@Test
 	void anUnknownOptionIsAUsageFault() {
 		assertThat(WhinMain.run("status", "--nonsense")).isEqualTo(2);
--- /dev/null
+++ b/whinjunction-core/src/main/java/io/whinjunction/loss/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * What routers' logs say of requests that were not answered on time, and why. Reads only.
+ */
+package io.whinjunction.loss;
--- a/whinjunction-router/src/main/java/io/whinjunction/router/ForwardSession.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/ForwardSession.java
@@ -78,6 +78,9 @@
 
 	private Attempt attempt;
 
+	/** Where the newest attempt began; {@code null} before the first. */
+	private Target lastTarget;
+
 	/** The events of the answer, over all attempts. */
 	private final EventStream events = new EventStream();
 
@@ -221,6 +224,7 @@
 			giveUp(this.mayHaveRun ? new NextStep.Fail() : new NextStep.Refuse(), "no-upstream");
 			return;
 		}
+		this.lastTarget = target.get();
 		this.attempt = new Attempt(this, target.get());
 		this.attempt.start();
 	}
@@ -426,6 +430,10 @@
 		RequestLog.ended(this, outcome, reason);
 	}
 
+	Target lastTarget() {
+		return this.lastTarget;
+	}
+
 	RouterContext router() {
 		return this.router;
 	}
--- a/whinjunction-router/src/main/java/io/whinjunction/router/RequestLog.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/RequestLog.java
@@ -2,6 +2,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.whinjunction.forward.AttemptEnd;
+import io.whinjunction.routing.Route;
 import io.whinjunction.routing.RoutingConfiguration;
 
 /**
@@ -29,15 +30,33 @@
 		RoutingConfiguration configuration = router.configuration();
 		logger.atInfo()
 			.log("event=request id=%s outcome=%s reason=%s kind=%s route=%s service=%s team=%s sent=%d not-sent=%d "
-					+ "events=%d tokens=%d+%d %s took-ms=%d version=%d proof-age-ms=%d", session.request().id(),
-					outcome, reason, kind, (session.route() != null) ? session.route().name() : "-",
+					+ "events=%d tokens=%d+%d %s took-ms=%d aim-ms=%d gap-aim-ms=%d %s version=%d proof-age-ms=%d",
+					session.request().id(), outcome, reason, kind,
+					(session.route() != null) ? session.route().name() : "-",
 					(session.service() != null) ? session.service().name() : "-",
 					(session.teamName() != null) ? session.teamName() : "-", session.sent(), session.notSent(),
 					session.events().events(), session.request().promptTokens(), session.request().answerTokens(),
-					session.progress(), tookMs, (configuration != null) ? configuration.version() : -1,
+					session.progress(), tookMs, aimMs(session.route()), gapAimMs(session.route()),
+					target(session.lastTarget()), (configuration != null) ? configuration.version() : -1,
 					router.proof().ageMs(router.bootMs()));
 	}
 
+	private static long aimMs(Route route) {
+		return (route != null) ? route.limits().targetLatencyMs() : -1;
+	}
+
+	private static long gapAimMs(Route route) {
+		return (route != null) ? route.limits().gapTargetMs() : -1;
+	}
+
+	private static String target(Target target) {
+		if (target == null) {
+			return "upstream=- domain=- hops=0";
+		}
+		return "upstream=" + target.first().id() + " domain=" + target.first().failureDomain() + " hops="
+				+ target.path().size();
+	}
+
 	/**
 	 * An attempt ended without an answer.
 	 * @param session the request
