A call that was told as not sent is never written

Whoever is first now decides: the observer refuses the write of a call that was given up, and the library drops the connection (shown with the library itself).

--- a/whinjunction-core/src/main/java/io/whinjunction/http/LibraryCalls.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/http/LibraryCalls.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
 
 import org.asynchttpclient.AsyncCompletionHandler;
@@ -64,13 +65,19 @@
 
 	/**
 	 * Hears of a call's end, and notes when the request is handed to a connected channel:
-	 * the point of no return. Safe for the library's threads.
+	 * the point of no return.
+	 * <p>
+	 * The failure it is there for: on a starved machine a call's time is over before it
+	 * has connected. It is told as not sent, and another one is made elsewhere; if the
+	 * library then still wrote it, an action would run twice. Whoever is first decides: a
+	 * call that was told as not sent may no longer be written, and the library drops the
+	 * connection instead. Safe for the library's threads.
 	 */
 	static final class Observer extends AsyncCompletionHandler<Response> {
 
 		private final Consumer<CallResult> done;
 
-		private volatile boolean written;
+		private final AtomicReference<Fate> fate = new AtomicReference<>(Fate.OPEN);
 
 		/**
 		 * An observer.
@@ -81,12 +88,14 @@
 		}
 
 		boolean written() {
-			return this.written;
+			return this.fate.get() == Fate.WRITTEN;
 		}
 
 		@Override
 		public void onRequestSend(NettyRequest request) {
-			this.written = true;
+			if (!this.fate.compareAndSet(Fate.OPEN, Fate.WRITTEN) && !written()) {
+				throw new IllegalStateException("the call was given up before it was written");
+			}
 		}
 
 		@Override
@@ -101,13 +110,21 @@
 		}
 
 		/**
-		 * What is known where no whole response came.
+		 * What is known where no whole response came. A call that was not written by now
+		 * never will be.
 		 * @param reason why
 		 * @param silent whether a time limit ended it
 		 * @return the result
 		 */
 		CallResult lost(String reason, boolean silent) {
-			return this.written ? new CallResult.Lost(reason, silent) : new CallResult.NotSent(reason);
+			this.fate.compareAndSet(Fate.OPEN, Fate.GIVEN_UP);
+			return written() ? new CallResult.Lost(reason, silent) : new CallResult.NotSent(reason);
+		}
+
+		private enum Fate {
+
+			OPEN, WRITTEN, GIVEN_UP
+
 		}
 
 	}
