--- a/whinjunction-router/src/main/java/io/whinjunction/router/EngineWatch.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/EngineWatch.java
@@ -14,7 +14,6 @@
 import com.google.common.flogger.FluentLogger;
 import io.netty.util.concurrent.ScheduledFuture;
 import io.whinjunction.chain.Hop;
-import io.whinjunction.chain.PathFinder;
 
 /**
  * Notices engines that are dead, cut off or empty before the list of upstreams does.
@@ -52,12 +51,6 @@
 	 */
 	private static final long ANSWER_BESIDE_OTHERS_MS = 40;
 
-	/**
-	 * Engines that are asked at the same look: the longest path. A question costs a
-	 * router that has just started some milliseconds of its processor.
-	 */
-	private static final int MOST_ASKED_AT_ONCE = PathFinder.MOST_HOPS;
-
 	/** Delays of this process count for this long, in milliseconds: a question's time. */
 	private static final long DELAY_REMEMBERED_MS = 150;
 
@@ -99,6 +92,8 @@
 
 	private final Map<String, Long> askedAtMs = new HashMap<>();
 
+	private final QuestionBudget budget = new QuestionBudget();
+
 	/**
 	 * A watch.
 	 * @param router the directory and the clock
@@ -306,7 +301,7 @@
 			boolean urgent = suspicion != null && suspicion.unanswered < LOST_AFTER;
 			Long askedMs = EngineWatch.this.askedAtMs.get(upstream.incarnation());
 			boolean askedLately = askedMs != null && nowMs - askedMs < (urgent ? SUSPECT_PAUSE_MS : ASK_PAUSE_MS);
-			if (askedLately || this.asked >= MOST_ASKED_AT_ONCE) {
+			if (askedLately || !EngineWatch.this.budget.take(nowMs, EngineWatch.this.router.peers().sharers(nowMs))) {
 				return;
 			}
 			EngineWatch.this.askedAtMs.put(upstream.incarnation(), nowMs);
