--- a/whinjunction-bench/src/main/java/io/whinjunction/bench/ChainBench.java
+++ b/whinjunction-bench/src/main/java/io/whinjunction/bench/ChainBench.java
@@ -9,6 +9,7 @@
 import io.whinjunction.chain.ChainForecast;
 import io.whinjunction.chain.Engine;
 import io.whinjunction.chain.LayerPlanner;
+import io.whinjunction.chain.ModelProfile;
 import io.whinjunction.chain.Placement;
 
 /**
@@ -34,36 +35,37 @@
 	}
 
 	void run(Report report) {
-		for (Size size : SIZES) {
-			int perDomain = size.perDomain();
-			List<Engine> empty = ChainFleet.empty(size.domains(), perDomain);
-			double capacity = capacity(empty);
-			report.put("chains.%d.capacity".formatted(perDomain), "requests/s", capacity);
-			report.put("chains.%d.flow-bound".formatted(perDomain), "requests/s",
-					ChainBound.requestsPerSecond(ChainFleet.placed(empty)));
-			scenarios(capacity, size).forEach((name, scenario) -> policies().forEach((policy, maker) -> {
-				ChainResult result = new ChainEmulator(maker.get(), empty, scenario).run();
-				report.put("chains.%d.%s.%s".formatted(perDomain, name, policy), "of the benefit", result.benefit());
-				if (name.equals("calm") && policy.equals(PRODUCT)) {
-					report.put("chains.%d.event-mean".formatted(perDomain), "ms", result.meanEventMs());
-					report.put("chains.%d.first-event-mean".formatted(perDomain), "ms", result.meanFirstMs());
-				}
-			}));
-			report.atLeast("chains.%d.calm.%s".formatted(perDomain, PRODUCT), size.leastCalm());
-			report.atLeast("chains.%d.loss.%s".formatted(perDomain, PRODUCT), size.leastLoss());
-		}
+		ChainFleet.ALL.forEach((fleet) -> SIZES.forEach((size) -> run(report, fleet, size)));
+	}
+
+	private void run(Report report, ChainFleet fleet, Size size) {
+		String row = "chains.%s.%d.".formatted(fleet.name(), size.perDomain());
+		List<Engine> empty = fleet.empty(size.domains(), size.perDomain());
+		double capacity = capacity(fleet.model(), empty);
+		report.put(row + "capacity", "requests/s", capacity);
+		report.put(row + "flow-bound", "requests/s", ChainBound.requestsPerSecond(fleet.model(), fleet.placed(empty)));
+		scenarios(capacity, size).forEach((name, scenario) -> policies(fleet).forEach((policy, maker) -> {
+			ChainResult result = new ChainEmulator(fleet, maker.get(), empty, scenario).run();
+			report.put(row + name + "." + policy, "of the benefit", result.benefit());
+			if (name.equals("calm") && policy.equals(PRODUCT)) {
+				report.put(row + "event-mean", "ms", result.meanEventMs());
+				report.put(row + "first-event-mean", "ms", result.meanFirstMs());
+			}
+		}));
+		report.atLeast(row + "calm." + PRODUCT, size.leastCalm());
+		report.atLeast(row + "loss." + PRODUCT, size.leastLoss());
 	}
 
 	// What the forecast says that the first plan carries.
-	private static double capacity(List<Engine> empty) {
+	private static double capacity(ModelProfile model, List<Engine> empty) {
 		double sum = 0;
-		List<Placement> placements = LayerPlanner.plan(ChainFleet.MODEL, empty);
+		List<Placement> placements = LayerPlanner.plan(model, empty);
 		List<ChainForecast.Stage> stages = new ArrayList<>();
 		for (Placement placement : placements) {
 			int layers = placement.layers().end() - placement.layers().first();
 			stages.add(new ChainForecast.Stage(placement.engine().kind(), layers));
-			if (placement.layers().end() == ChainFleet.MODEL.layers()) {
-				sum += ChainForecast.capacity(ChainFleet.MODEL, stages);
+			if (placement.layers().end() == model.layers()) {
+				sum += ChainForecast.capacity(model, stages);
 				stages.clear();
 			}
 		}
@@ -88,11 +90,11 @@
 				size.lengthPart() * this.lengthMs, 1);
 	}
 
-	private static Map<String, Supplier<ChainPolicy>> policies() {
+	private static Map<String, Supplier<ChainPolicy>> policies(ChainFleet fleet) {
 		Map<String, Supplier<ChainPolicy>> policies = new LinkedHashMap<>();
-		policies.put("one-replica", ChainPolicy.OneReplica::new);
-		policies.put("shortest-step", ChainPolicy.ShortestStep::new);
-		policies.put(PRODUCT, ChainPolicy.Product::new);
+		policies.put("one-replica", () -> new ChainPolicy.OneReplica(fleet.model()));
+		policies.put("shortest-step", () -> new ChainPolicy.ShortestStep(fleet.model()));
+		policies.put(PRODUCT, () -> new ChainPolicy.Product(fleet.model()));
 		return policies;
 	}
 
--- a/whinjunction-bench/src/main/java/io/whinjunction/bench/ChainBound.java
+++ b/whinjunction-bench/src/main/java/io/whinjunction/bench/ChainBound.java
@@ -23,11 +23,11 @@
 
 	/**
 	 * The bound.
+	 * @param model the model
 	 * @param engines the engines
 	 * @return requests a second
 	 */
-	static double requestsPerSecond(List<Engine> engines) {
-		ModelProfile model = ChainFleet.MODEL;
+	static double requestsPerSecond(ModelProfile model, List<Engine> engines) {
 		TreeSet<Integer> bounds = new TreeSet<>(List.of(0, model.layers()));
 		engines.stream().filter((engine) -> engine.held() != null).forEach((engine) -> {
 			bounds.add(engine.held().first());
@@ -38,7 +38,7 @@
 		bounds.forEach(graph::addVertex);
 		for (Engine engine : engines) {
 			if (engine.held() != null) {
-				addTo(graph, bounds, engine);
+				addTo(graph, bounds, model, engine);
 			}
 		}
 		return new PushRelabelMFImpl<>(graph).calculateMaximumFlow(0, model.layers());
@@ -47,20 +47,19 @@
 	// An engine that holds several stretches between boundaries may give all of its time
 	// to each of them, which only raises the bound.
 	private static void addTo(SimpleDirectedWeightedGraph<Integer, DefaultWeightedEdge> graph, TreeSet<Integer> bounds,
-			Engine engine) {
+			ModelProfile model, Engine engine) {
 		Integer first = engine.held().first();
 		while (first < engine.held().end()) {
 			Integer end = bounds.higher(first);
 			DefaultWeightedEdge edge = graph.getEdge(first, end);
 			double before = (edge != null) ? graph.getEdgeWeight(edge) : 0;
 			DefaultWeightedEdge kept = (edge != null) ? edge : graph.addEdge(first, end);
-			graph.setEdgeWeight(kept, before + rate(engine, end - first));
+			graph.setEdgeWeight(kept, before + rate(model, engine, end - first));
 			first = end;
 		}
 	}
 
-	private static double rate(Engine engine, int layers) {
-		ModelProfile model = ChainFleet.MODEL;
+	private static double rate(ModelProfile model, Engine engine, int layers) {
 		double idleMs = layers * model.layerStepMs(engine.kind(), 0);
 		double tokenMs = layers * model.layerStepMs(engine.kind(), 1) - idleMs;
 		double workMs = model.usualAnswerTokens() * tokenMs
--- a/whinjunction-bench/src/main/java/io/whinjunction/bench/ChainEmulator.java
+++ b/whinjunction-bench/src/main/java/io/whinjunction/bench/ChainEmulator.java
@@ -35,6 +35,8 @@
 
 	private static final int CHUNK_TOKENS = 512;
 
+	private final ChainFleet fleet;
+
 	private final ChainPolicy policy;
 
 	private final ChainScenario scenario;
@@ -58,7 +60,8 @@
 
 	private long order;
 
-	ChainEmulator(ChainPolicy policy, List<Engine> empty, ChainScenario scenario) {
+	ChainEmulator(ChainFleet fleet, ChainPolicy policy, List<Engine> empty, ChainScenario scenario) {
+		this.fleet = fleet;
 		this.policy = policy;
 		this.scenario = scenario;
 		this.random = new Random(scenario.seed());
@@ -100,10 +103,13 @@
 	}
 
 	private void arrive() {
-		int prompt = (int) Math.clamp(-Math.log(1 - this.random.nextDouble()) * 775, 20, 2280);
-		int answer = (int) Math.clamp(-Math.log(1 - this.random.nextDouble()) * 216, 8, 640);
+		int usualPrompt = this.fleet.model().usualPromptTokens();
+		int usualAnswer = this.fleet.model().usualAnswerTokens();
+		int prompt = (int) Math.clamp(-Math.log(1 - this.random.nextDouble()) * usualPrompt, 20, 3 * usualPrompt);
+		int answer = (int) Math.clamp(-Math.log(1 - this.random.nextDouble()) * usualAnswer, 8, 3 * usualAnswer);
 		EmulatedStream stream = new EmulatedStream("d" + this.random.nextInt(this.scenario.domains()),
-				this.random.nextInt(this.scenario.routers()), prompt, answer, this.nowMs);
+				this.random.nextInt(this.scenario.routers()), prompt, answer, this.fleet.model().stepsPerPass(),
+				this.nowMs);
 		this.streams.add(stream);
 		send(stream);
 	}
@@ -239,7 +245,8 @@
 		for (Placement placement : this.policy.repair(living)) {
 			Station station = this.stations.get(placement.engine().id());
 			int added = placement.layers().end() - placement.layers().first() - station.engine.heldLayers();
-			double loadMs = ChainFleet.MODEL.loadSeconds() * 1000 * added / ChainFleet.MODEL.layers();
+			double loadMs = ChainEmulator.this.fleet.model().loadSeconds() * 1000 * added
+					/ ChainEmulator.this.fleet.model().layers();
 			at(this.nowMs + loadMs, () -> {
 				station.engine = ChainFleet.holding(station.engine, placement);
 				this.holders = null;
@@ -248,7 +255,7 @@
 	}
 
 	private ChainResult result() {
-		ChainResult result = new ChainResult();
+		ChainResult result = new ChainResult(this.fleet.pauseAimMs());
 		this.streams.forEach(result::add);
 		return result;
 	}
@@ -305,7 +312,8 @@
 		}
 
 		boolean fits(EmulatedStream stream, Hop hop) {
-			double room = ChainFleet.MODEL.roomTokenLayers(this.engine.kind(), this.engine.heldLayers());
+			double room = ChainEmulator.this.fleet.model()
+				.roomTokenLayers(this.engine.kind(), this.engine.heldLayers());
 			int layers = hop.layers().end() - hop.layers().first();
 			return this.usedTokenLayers + stream.tokens() * (double) layers <= room;
 		}
@@ -315,7 +323,8 @@
 		}
 
 		PathCosts.Load load(double told, int router) {
-			double room = ChainFleet.MODEL.roomTokenLayers(this.engine.kind(), this.engine.heldLayers());
+			double room = ChainEmulator.this.fleet.model()
+				.roomTokenLayers(this.engine.kind(), this.engine.heldLayers());
 			double unread = Math.max(0, this.unreadTokens[router]) * this.untold.length;
 			return new PathCosts.Load((told + this.untold[router]) / Math.max(1, room), unread, this.pace, false);
 		}
@@ -339,11 +348,11 @@
 			for (Work work : batch) {
 				int held = layersOf(work);
 				layers = Math.max(layers, held);
-				passMs += held * (ChainFleet.MODEL.layerStepMs(this.engine.kind(), 1)
-						- ChainFleet.MODEL.layerStepMs(this.engine.kind(), 0));
-				passMs += ChainFleet.MODEL.readMs(this.engine.kind(), held, read(work));
+				passMs += held * (ChainEmulator.this.fleet.model().layerStepMs(this.engine.kind(), 1)
+						- ChainEmulator.this.fleet.model().layerStepMs(this.engine.kind(), 0));
+				passMs += ChainEmulator.this.fleet.model().readMs(this.engine.kind(), held, read(work));
 			}
-			passMs += layers * ChainFleet.MODEL.layerStepMs(this.engine.kind(), 0);
+			passMs += layers * ChainEmulator.this.fleet.model().layerStepMs(this.engine.kind(), 0);
 			at(ChainEmulator.this.nowMs + passMs * this.pace, () -> finish(batch));
 		}
 
--- a/whinjunction-bench/src/main/java/io/whinjunction/bench/ChainFleet.java
+++ b/whinjunction-bench/src/main/java/io/whinjunction/bench/ChainFleet.java
@@ -1,6 +1,7 @@
 package io.whinjunction.bench;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -12,11 +13,16 @@
 import io.whinjunction.chain.Placement;
 
 /**
- * Fleets of mixed accelerators for the benchmarks of chains: of fifteen engines one is
- * large and fast, ten are small and middling, four are middling and slow, which is how
- * the users' cards are mixed. Stateless.
+ * A fleet of mixed accelerators for the benchmarks of chains, as one of the users' is
+ * mixed. Immutable.
+ *
+ * @param name its name in results
+ * @param model the model, with the figures that the users publish for theirs
+ * @param mix the kinds of engines, repeated in this order in each failure domain
+ * @param pauseAimMs the longest pause between events that callers are promised, in
+ * milliseconds
  */
-final class ChainFleet {
+record ChainFleet(String name, ModelProfile model, List<EngineKind> mix, double pauseAimMs) {
 
 	private static final EngineKind LARGE = new EngineKind("large", 72_000, 2.4, 3.2);
 
@@ -24,19 +30,33 @@
 
 	private static final EngineKind SLOW = new EngineKind("slow", 21_600, 16, 8.2);
 
-	/**
-	 * A model of 80 layers that no engine holds alone; the figures are those that the
-	 * users publish for theirs.
-	 */
-	static final ModelProfile MODEL = new ModelProfile("llm", 80, 1750, 845_373, 1.02, 0.0066, 0.0088, 164_000, 4, 14,
-			6, 134, new ModelProfile.Transfer(42_268, 13_000), 775, 216,
-			Map.of("large", LARGE, "small", SMALL, "slow", SLOW));
-
-	private static final int MIX = 15;
-
-	private static final int SMALL_OF_MIX = 10;
-
-	private ChainFleet() {
+	private static final EngineKind FAST_HALF = new EngineKind("fast-half", 36_000, 3.1, 3.2);
+
+	private static final EngineKind SLOW_SMALL = new EngineKind("slow-small", 14_400, 15, 15);
+
+	/** Of fifteen engines one is large and fast, ten small and middling, four slow. */
+	static final ChainFleet MIDDLING = new ChainFleet("middling",
+			new ModelProfile("llm", 80, 1750, 845_373, 1.02, 0.0066, 0.0088, 164_000, 4, 14, 6, 134,
+					new ModelProfile.Transfer(42_268, 13_000), 775, 216,
+					Map.of("large", LARGE, "small", SMALL, "slow", SLOW)),
+			mixed(LARGE, 1, SMALL, 10, SLOW, 4), 250);
+
+	/** Of thirteen engines two are fast, which hold half as much, and eleven are slow. */
+	static final ChainFleet SLOW_MANY = new ChainFleet("slow-many",
+			new ModelProfile("llm", 80, 1750, 459_000, 0.85, 0.00297, 0.00398, 252_000, 2, 14, 6, 134,
+					new ModelProfile.Transfer(22_900, 7_900), 800, 154,
+					Map.of("fast-half", FAST_HALF, "slow", SLOW, "slow-small", SLOW_SMALL)),
+			mixed(FAST_HALF, 2, SLOW, 5, SLOW_SMALL, 6), 200);
+
+	static final List<ChainFleet> ALL = List.of(MIDDLING, SLOW_MANY);
+
+	private static List<EngineKind> mixed(EngineKind first, int firsts, EngineKind second, int seconds,
+			EngineKind third, int thirds) {
+		List<EngineKind> mix = new ArrayList<>();
+		mix.addAll(Collections.nCopies(firsts, first));
+		mix.addAll(Collections.nCopies(seconds, second));
+		mix.addAll(Collections.nCopies(thirds, third));
+		return List.copyOf(mix);
 	}
 
 	/**
@@ -45,33 +65,25 @@
 	 * @param perDomain how many engines each of them has
 	 * @return the engines
 	 */
-	static List<Engine> empty(int domains, int perDomain) {
+	List<Engine> empty(int domains, int perDomain) {
 		List<Engine> engines = new ArrayList<>();
 		for (int domain = 0; domain < domains; domain++) {
 			for (int index = 0; index < perDomain; index++) {
 				engines.add(new Engine("d%d-%03d".formatted(domain, index),
-						"10.%d.%d.%d:8080".formatted(domain, index / 250, index % 250), "d" + domain, kind(index), null,
-						false));
+						"10.%d.%d.%d:8080".formatted(domain, index / 250, index % 250), "d" + domain,
+						this.mix.get(index % this.mix.size()), null, false));
 			}
 		}
 		return engines;
 	}
 
-	private static EngineKind kind(int index) {
-		int place = index % MIX;
-		if (place == 0) {
-			return LARGE;
-		}
-		return (place <= SMALL_OF_MIX) ? SMALL : SLOW;
-	}
-
 	/**
 	 * Engines after the first plan was carried out.
 	 * @param engines empty engines
 	 * @return the same engines, with layers
 	 */
-	static List<Engine> placed(List<Engine> engines) {
-		return carriedOut(engines, LayerPlanner.plan(MODEL, engines));
+	List<Engine> placed(List<Engine> engines) {
+		return carriedOut(engines, LayerPlanner.plan(this.model, engines));
 	}
 
 	/**
--- a/whinjunction-bench/src/main/java/io/whinjunction/bench/ChainPolicy.java
+++ b/whinjunction-bench/src/main/java/io/whinjunction/bench/ChainPolicy.java
@@ -51,16 +51,22 @@
 	/** The product's decisions. */
 	final class Product implements ChainPolicy {
 
+		private final ModelProfile model;
+
 		private final ReplicaCounts counts = new ReplicaCounts();
 
+		Product(ModelProfile model) {
+			this.model = model;
+		}
+
 		@Override
 		public List<Placement> place(List<Engine> engines) {
-			return LayerPlanner.plan(ChainFleet.MODEL, engines);
+			return LayerPlanner.plan(this.model, engines);
 		}
 
 		@Override
 		public List<Placement> repair(List<Engine> engines) {
-			return LayerPlanner.plan(ChainFleet.MODEL, engines, this.counts);
+			return LayerPlanner.plan(this.model, engines, this.counts);
 		}
 
 		@Override
@@ -68,9 +74,9 @@
 				int tokens) {
 			List<PathFinder.Candidate> candidates = engines.stream()
 				.filter((engine) -> loads.get(engine.id()).usedPart() < 1)
-				.map((engine) -> PathCosts.rate(ChainFleet.MODEL, engine, loads.get(engine.id()), tokens))
+				.map((engine) -> PathCosts.rate(this.model, engine, loads.get(engine.id()), tokens))
 				.toList();
-			return PathFinder.find(ChainFleet.MODEL, candidates, PathFinder.Start.whole(domain, (engine) -> true));
+			return PathFinder.find(this.model, candidates, PathFinder.Start.whole(domain, (engine) -> true));
 		}
 
 	}
@@ -78,7 +84,14 @@
 	/** The product without regard for load: the shortest step wins. */
 	final class ShortestStep implements ChainPolicy {
 
-		private final Product product = new Product();
+		private final ModelProfile model;
+
+		private final Product product;
+
+		ShortestStep(ModelProfile model) {
+			this.model = model;
+			this.product = new Product(model);
+		}
 
 		@Override
 		public List<Placement> place(List<Engine> engines) {
@@ -94,9 +107,9 @@
 		public Optional<List<Hop>> path(List<Engine> engines, Map<String, PathCosts.Load> loads, String domain,
 				int tokens) {
 			List<PathFinder.Candidate> candidates = engines.stream()
-				.map((engine) -> new PathFinder.Candidate(engine, ChainFleet.MODEL.layerStepMs(engine.kind(), 0), 0))
+				.map((engine) -> new PathFinder.Candidate(engine, this.model.layerStepMs(engine.kind(), 0), 0))
 				.toList();
-			return PathFinder.find(ChainFleet.MODEL, candidates, PathFinder.Start.whole(domain, (engine) -> true));
+			return PathFinder.find(this.model, candidates, PathFinder.Start.whole(domain, (engine) -> true));
 		}
 
 	}
@@ -107,6 +120,12 @@
 	 */
 	final class OneReplica implements ChainPolicy {
 
+		private final ModelProfile model;
+
+		OneReplica(ModelProfile model) {
+			this.model = model;
+		}
+
 		@Override
 		public List<Placement> place(List<Engine> engines) {
 			Map<String, List<Engine>> byDomain = new TreeMap<>();
@@ -117,8 +136,7 @@
 			return placements;
 		}
 
-		private static List<Placement> byMemory(List<Engine> engines) {
-			ModelProfile model = ChainFleet.MODEL;
+		private List<Placement> byMemory(List<Engine> engines) {
 			List<Engine> members = engines.stream()
 				.sorted(Comparator.comparingDouble((Engine engine) -> -engine.kind().memoryMb())
 					.thenComparing(Engine::id))
@@ -130,7 +148,7 @@
 			int first = 0;
 			for (Engine engine : members) {
 				passedMb += engine.kind().memoryMb();
-				int end = (int) Math.round(model.layers() * passedMb / memoryMb);
+				int end = (int) Math.round(this.model.layers() * passedMb / memoryMb);
 				if (end > first) {
 					placements.add(new Placement(engine, new LayerRange(first, end)));
 				}
@@ -153,7 +171,7 @@
 				.forEach((engine) -> byFirst.put(engine.held().first(), engine));
 			List<Hop> path = new ArrayList<>();
 			int layer = 0;
-			while (layer < ChainFleet.MODEL.layers()) {
+			while (layer < this.model.layers()) {
 				Engine engine = byFirst.get(layer);
 				if (engine == null) {
 					return Optional.empty();
--- a/whinjunction-bench/src/main/java/io/whinjunction/bench/ChainResult.java
+++ b/whinjunction-bench/src/main/java/io/whinjunction/bench/ChainResult.java
@@ -7,7 +7,7 @@
 
 	private static final double FIRST_EVENT_AIM_MS = 500;
 
-	private static final double PAUSE_AIM_MS = 250;
+	private final double pauseAimMs;
 
 	/** Callers leave a stream after a pause of this length, in milliseconds. */
 	private static final double PATIENCE_MS = 2000;
@@ -26,11 +26,15 @@
 
 	private int firsts;
 
+	ChainResult(double pauseAimMs) {
+		this.pauseAimMs = pauseAimMs;
+	}
+
 	void add(EmulatedStream stream) {
 		this.asked++;
 		boolean whole = stream.whole();
 		boolean inTime = whole && stream.firstEventMs() <= FIRST_EVENT_AIM_MS
-				&& stream.longestPauseMs() <= PAUSE_AIM_MS;
+				&& stream.longestPauseMs() <= this.pauseAimMs;
 		this.onTime += inTime ? 1 : 0;
 		this.late += (whole && !inTime && stream.longestPauseMs() < PATIENCE_MS) ? 1 : 0;
 		if (whole && stream.events() > 1) {
--- a/whinjunction-bench/src/main/java/io/whinjunction/bench/ChainSlopeBench.java
+++ b/whinjunction-bench/src/main/java/io/whinjunction/bench/ChainSlopeBench.java
@@ -40,22 +40,23 @@
 
 	private void measure(Report report, int domains, int perDomain) {
 		String size = "." + domains + "x" + perDomain;
-		List<Engine> empty = ChainFleet.empty(domains, perDomain);
+		List<Engine> empty = ChainFleet.MIDDLING.empty(domains, perDomain);
 		report.put("chain-first-plan" + size, "us",
-				micros(() -> this.sink = LayerPlanner.plan(ChainFleet.MODEL, empty)));
-		List<Engine> placed = ChainFleet.placed(empty);
+				micros(() -> this.sink = LayerPlanner.plan(ChainFleet.MIDDLING.model(), empty)));
+		List<Engine> placed = ChainFleet.MIDDLING.placed(empty);
 		Engine lost = placed.stream().filter((engine) -> engine.held() != null).findFirst().orElseThrow();
 		List<Engine> holed = placed.stream().filter((engine) -> engine != lost).toList();
 		ReplicaCounts counts = new ReplicaCounts();
 		report.put("chain-repair" + size, "us",
-				micros(() -> this.sink = LayerPlanner.plan(ChainFleet.MODEL, holed, counts)));
+				micros(() -> this.sink = LayerPlanner.plan(ChainFleet.MIDDLING.model(), holed, counts)));
 		List<PathFinder.Candidate> candidates = placed.stream()
 			.filter((engine) -> engine.held() != null)
-			.map((engine) -> new PathFinder.Candidate(engine, ChainFleet.MODEL.layerStepMs(engine.kind(), 20), 0))
+			.map((engine) -> new PathFinder.Candidate(engine,
+					ChainFleet.MIDDLING.model().layerStepMs(engine.kind(), 20), 0))
 			.toList();
 		PathFinder.Start start = PathFinder.Start.whole("d0", (engine) -> true);
 		report.put("chain-path" + size, "us",
-				micros(() -> this.sink = PathFinder.find(ChainFleet.MODEL, candidates, start)));
+				micros(() -> this.sink = PathFinder.find(ChainFleet.MIDDLING.model(), candidates, start)));
 	}
 
 	private double micros(Runnable work) {
--- a/whinjunction-bench/src/main/java/io/whinjunction/bench/EmulatedStream.java
+++ b/whinjunction-bench/src/main/java/io/whinjunction/bench/EmulatedStream.java
@@ -9,7 +9,7 @@
  */
 final class EmulatedStream {
 
-	private static final int TOKENS_PER_EVENT = 4;
+	private final int tokensPerEvent;
 
 	private final String domain;
 
@@ -42,7 +42,8 @@
 
 	private boolean failed;
 
-	EmulatedStream(String domain, int router, int prompt, int answer, double startedMs) {
+	EmulatedStream(String domain, int router, int prompt, int answer, int tokensPerEvent, double startedMs) {
+		this.tokensPerEvent = tokensPerEvent;
 		this.domain = domain;
 		this.router = router;
 		this.prompt = prompt;
@@ -65,7 +66,7 @@
 		this.unreadTokens = 0;
 		this.made++;
 		this.left--;
-		if (this.made % TOKENS_PER_EVENT != 0 && this.left > 0) {
+		if (this.made % this.tokensPerEvent != 0 && this.left > 0) {
 			return;
 		}
 		if (this.events == 0) {
