What was counted before an upstream's start was known is not kept under it

Cause, found by reading: an entry that says for the first time when its upstream started renamed what was remembered, so that requests under way, counted under the name alone, were no longer found at their end and the engine would have counted as full for good. An entry that doesn't say it is now of the start that is known; one that says another is a new start.

--- a/whinjunction-router/src/main/java/io/whinjunction/router/Upstream.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/Upstream.java
@@ -43,6 +43,16 @@
 		return this.bornMs != BORN_UNKNOWN && otherBornMs != BORN_UNKNOWN && this.bornMs > otherBornMs;
 	}
 
+	/**
+	 * The same upstream with the time of its start.
+	 * @param otherBornMs the time
+	 * @return the upstream
+	 */
+	Upstream bornAt(long otherBornMs) {
+		return new Upstream(this.id, otherBornMs, this.service, this.address, this.failureDomain, this.slots, this.kind,
+				this.held, this.leaving);
+	}
+
 	/**
 	 * The upstream after it started again.
 	 * @param newBornMs the time of the new start
--- a/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamDirectory.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamDirectory.java
@@ -85,27 +85,27 @@
 		changes.changed().forEach(this::put);
 	}
 
-	private void put(Upstream upstream) {
-		UpstreamState known = this.byId.get(upstream.id());
-		if (known != null && known.upstream().bornAfter(upstream.bornMs())) {
+	private void put(Upstream listed) {
+		UpstreamState known = this.byId.get(listed.id());
+		if (known == null) {
+			add(listed);
+			return;
+		}
+		if (known.upstream().bornAfter(listed.bornMs())) {
 			logger.atWarning()
-				.log("event=upstream-outdated upstream=%s known=%s", upstream.incarnation(),
+				.log("event=upstream-outdated upstream=%s known=%s", listed.incarnation(),
 						known.upstream().incarnation());
 			return;
 		}
-		if (known != null && upstream.bornAfter(known.upstream().bornMs())) {
+		// An entry that doesn't say when it started tells of the start that is known.
+		Upstream upstream = (listed.bornMs() == Upstream.BORN_UNKNOWN) ? listed.bornAt(known.upstream().bornMs())
+				: listed;
+		if (!upstream.incarnation().equals(known.upstream().incarnation())) {
 			end(known, upstream);
-			known = null;
-		}
-		if (known == null) {
 			add(upstream);
 			return;
 		}
-		boolean leftNow = upstream.leaving() && !known.upstream().leaving();
-		rename(known, upstream);
-		if (leftNow) {
-			this.left.accept(upstream);
-		}
+		update(known, upstream);
 	}
 
 	private void add(Upstream upstream) {
@@ -115,13 +115,14 @@
 		this.byAddress.put(addressKey(upstream), state);
 	}
 
-	// The same start: an entry may come before it says when that was.
-	private void rename(UpstreamState state, Upstream newer) {
-		this.byIncarnation.remove(state.upstream().incarnation());
+	private void update(UpstreamState state, Upstream newer) {
+		boolean leftNow = newer.leaving() && !state.upstream().leaving();
 		this.byAddress.remove(addressKey(state.upstream()), state);
 		state.update(newer);
-		this.byIncarnation.put(newer.incarnation(), state);
 		this.byAddress.put(addressKey(newer), state);
+		if (leftNow) {
+			this.left.accept(newer);
+		}
 	}
 
 	private void end(UpstreamState state, Upstream newer) {
--- a/whinjunction-router/src/test/java/io/whinjunction/router/UpstreamDirectoryTests.java
+++ b/whinjunction-router/src/test/java/io/whinjunction/router/UpstreamDirectoryTests.java
@@ -115,6 +115,33 @@
 		assertThat(this.directory.find("e").upstream()).isEqualTo(asked);
 	}
 
+	// An engine counts as full for the rest of the day: requests under way were counted
+	// under its name alone, an entry then said when it had started, and their ends were
+	// no
+	// longer found. What was counted under the one is not kept under the other.
+	@Test
+	void whatWasCountedBeforeAStartWasKnownIsNotKeptUnderIt() {
+		this.directory.replace(List.of(engine(Upstream.BORN_UNKNOWN, new LayerRange(0, 40))));
+		this.directory.find("e").began(10);
+
+		this.directory.replace(List.of(engine(1_000, new LayerRange(0, 40))));
+
+		assertThat(this.directory.find("e")).isNull();
+		assertThat(this.directory.find("e@1000").tokenLayers()).isZero();
+	}
+
+	@Test
+	void anEntryThatDoesNotSayWhenItStartedIsOfTheStartThatIsKnown() {
+		this.directory.replace(List.of(engine(1_000, null)));
+		this.directory.find("e@1000").began(10);
+
+		this.directory.replace(List.of(engine(Upstream.BORN_UNKNOWN, new LayerRange(0, 40))));
+
+		assertThat(this.directory.find("e@1000").upstream().held()).isEqualTo(new LayerRange(0, 40));
+		assertThat(this.directory.find("e@1000").tokenLayers()).isEqualTo(10);
+		assertThat(this.left).isEmpty();
+	}
+
 	@Test
 	void anEntryOfAnotherServiceDoesNotTakeAnAddressOver() {
 		this.directory.replace(List.of(upstream("1", "a:1", false)));
