A stopping router begins nothing that it expects to outlive

Cause: new requests were begun by the time since the signal alone. In the record they came 3.19 and 3.30 s after it; with the fixed 2.8 s of today 4.7 s were left, and one in seven drafts takes longer. The same cause acted where a head was judged in time and its request sent on later (a body that comes slowly, an attempt begun again), and where a machine was suspended in the stop or got the signal late: the steady clock doesn't count that, the grace does.

Change: StopAdmission judges each attempt by the part of the service's recent requests that took longer than what is left (requests in progress count with their time so far), and lets it begin all the same where the failure domain's other routers don't suffice for those that are refused. StopSchedule counts on the clock that counts suspensions and dates a signal that was handled late to when the process was last seen running. Whoever waits for the beginning of an answer when the process ends is told so. Each cut request has its line, taken-in-stop-ms tells when it came, event=judged-in-stop what decided.

Ruled out: a signal seen late, and sending on late, for the recorded two (cut 7.52 s after the signal; 4 ms from taking to the engine).

--- a/whinjunction-router/src/main/java/io/whinjunction/router/CallerConnection.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/CallerConnection.java
@@ -277,6 +277,24 @@
 		}
 	}
 
+	/** This process ends: the caller gets an answer, or the visible end of one. */
+	void routerEnds() {
+		if (this.session != null) {
+			this.session.onRouterEnds();
+		}
+	}
+
+	/**
+	 * How long the current request has taken so far.
+	 * @param service the service that is meant
+	 * @return milliseconds; -1 where there is no request to it
+	 */
+	long inProgressMs(String service) {
+		boolean one = this.session != null && this.session.service() != null
+				&& this.session.service().name().equals(service);
+		return one ? this.router.nowMs() - this.session.startedMs() : -1;
+	}
+
 	boolean busy() {
 		return !this.answered;
 	}
--- a/whinjunction-router/src/main/java/io/whinjunction/router/ForwardSession.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/ForwardSession.java
@@ -48,6 +48,9 @@
 	 */
 	private static final long DEFAULT_PATIENCE_MS = 30_000;
 
+	/** The reason of what ends, or doesn't begin, since this process stops. */
+	private static final String STOPPING = "stopping";
+
 	private final RouterContext router;
 
 	private final CallerConnection caller;
@@ -218,7 +221,21 @@
 		this.caller.abort();
 	}
 
+	/** This process ends before the answer does. */
+	void onRouterEnds() {
+		if (this.done) {
+			return;
+		}
+		boolean ran = this.mayHaveRun || (this.attempt != null && this.attempt.sent());
+		giveUp(ran ? new NextStep.Fail() : new NextStep.Refuse(), STOPPING);
+	}
+
 	private void tryNext() {
+		// What has begun to reach its caller goes on here as long as it can.
+		if (!this.answerBegun && outlivesRouter()) {
+			giveUp(this.mayHaveRun ? new NextStep.Fail() : new NextStep.Refuse(), STOPPING);
+			return;
+		}
 		Optional<Target> target = chooseTarget();
 		if (target.isEmpty()) {
 			giveUp(this.mayHaveRun ? new NextStep.Fail() : new NextStep.Refuse(), "no-upstream");
@@ -229,6 +246,12 @@
 		this.attempt.start();
 	}
 
+	private boolean outlivesRouter() {
+		Optional<StopAdmission.Judgement> judgement = this.router.judgeInStop(this.route, this.service.name());
+		judgement.ifPresent((judged) -> RequestLog.judgedInStop(this, judged));
+		return judgement.isPresent() && !judgement.get().begins();
+	}
+
 	private Optional<Target> chooseTarget() {
 		boolean again = RetryPolicy.onlyTriedOnes(this.route, this.sentTo.size());
 		TargetChooser.Wish wish = new TargetChooser.Wish(this.service, expectedTokens(), this.tried,
@@ -346,7 +369,8 @@
 			finish("failed-upstream", reason, this.failedAnswer);
 		}
 		else if (step instanceof NextStep.Refuse) {
-			finish("refused", reason, Answer.refusal("it was not run: " + reason, RETRY_AFTER_MS));
+			long retryAfterMs = reason.equals(STOPPING) ? RequestGate.RETRY_ELSEWHERE_MS : RETRY_AFTER_MS;
+			finish("refused", reason, Answer.refusal("it was not run: " + reason, retryAfterMs));
 		}
 		else {
 			finish("failed", reason, Answer.own(HttpResponseStatus.BAD_GATEWAY, "it may have run: " + reason));
@@ -427,6 +451,9 @@
 			this.attempt.abandon();
 			this.attempt = null;
 		}
+		if (this.service != null && outcome.equals("answered")) {
+			this.router.answered(this.service.name(), this.router.nowMs() - this.startedMs);
+		}
 		RequestLog.ended(this, outcome, reason);
 	}
 
--- a/whinjunction-router/src/main/java/io/whinjunction/router/PeerTable.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/PeerTable.java
@@ -153,6 +153,26 @@
 			.toList();
 	}
 
+	/**
+	 * The routers that a caller whom this one refuses may reach: those of the same
+	 * failure domain, or where there are no others, all.
+	 * @param failureDomain the failure domain of this router
+	 * @param nowMs the time
+	 * @return how many are known and how many of them serve
+	 */
+	Others others(String failureDomain, long nowMs) {
+		List<Peer> known = this.byAddress.values().stream().filter((peer) -> peer.status != null).toList();
+		List<Peer> near = known.stream().filter((peer) -> peer.status.failureDomain().equals(failureDomain)).toList();
+		List<Peer> reachable = near.isEmpty() ? known : near;
+		long serving = reachable.stream().filter((peer) -> serves(peer, nowMs)).count();
+		return new Others(reachable.size(), (int) serving);
+	}
+
+	private static boolean serves(Peer peer, long nowMs) {
+		return alive(peer, nowMs) && !peer.status.leaving() && peer.status.version() >= 0
+				&& peer.status.proofAgeMs() >= 0;
+	}
+
 	/**
 	 * Memory that other routers' requests take up at an engine.
 	 * <p>
@@ -257,6 +277,29 @@
 		return peer.status != null && nowMs - peer.heardAtMs < SILENT_MS;
 	}
 
+	/**
+	 * Routers beside this one. Immutable.
+	 *
+	 * @param known how many are known
+	 * @param serving how many of them take requests, as far as was heard
+	 */
+	record Others(int known, int serving) {
+
+		/**
+		 * Whether a caller that is refused here finds one that serves.
+		 * <p>
+		 * A balancer that has less than half of a failure domain's processes left sends
+		 * to all of them again, also to those that stop or are gone: with drafts refused
+		 * there too, 1 to 4 requests of 1,660 to 2,390 found nobody at all on days with
+		 * every router stopped two seconds after the one before, where 0 or 1 had.
+		 * @return whether half of all, this one included, serve
+		 */
+		boolean suffice() {
+			return this.serving > 0 && 2 * this.serving >= this.known + 1;
+		}
+
+	}
+
 	/** A router that is known by address; confined to the table. */
 	private static final class Peer {
 
--- a/whinjunction-router/src/main/java/io/whinjunction/router/RequestLog.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/RequestLog.java
@@ -30,15 +30,33 @@
 		RoutingConfiguration configuration = router.configuration();
 		logger.atInfo()
 			.log("event=request id=%s outcome=%s reason=%s kind=%s route=%s service=%s team=%s sent=%d not-sent=%d "
-					+ "events=%d tokens=%d+%d %s took-ms=%d aim-ms=%d gap-aim-ms=%d %s version=%d proof-age-ms=%d",
+					+ "events=%d tokens=%d+%d %s took-ms=%d aim-ms=%d gap-aim-ms=%d taken-in-stop-ms=%s %s version=%d proof-age-ms=%d",
 					session.request().id(), outcome, reason, kind,
 					(session.route() != null) ? session.route().name() : "-",
 					(session.service() != null) ? session.service().name() : "-",
 					(session.teamName() != null) ? session.teamName() : "-", session.sent(), session.notSent(),
 					session.events().events(), session.request().promptTokens(), session.request().answerTokens(),
 					session.progress(), tookMs, aimMs(session.route()), gapAimMs(session.route()),
-					target(session.lastTarget()), (configuration != null) ? configuration.version() : -1,
-					router.proof().ageMs(router.bootMs()));
+					takenInStopMs(router, tookMs), target(session.lastTarget()),
+					(configuration != null) ? configuration.version() : -1, router.proof().ageMs(router.bootMs()));
+	}
+
+	// When the request came, counted from the signal to stop: negative where it was under
+	// way before.
+	private static String takenInStopMs(RouterContext router, long tookMs) {
+		return router.stopping() ? Long.toString(router.stopAgeMs() - tookMs) : "-";
+	}
+
+	/**
+	 * Whether an attempt begins although this process stops was decided.
+	 * @param session the request
+	 * @param judgement the decision and its inputs
+	 */
+	static void judgedInStop(ForwardSession session, StopAdmission.Judgement judgement) {
+		logger.atInfo()
+			.log("event=judged-in-stop id=%s begins=%s age-ms=%d left-ms=%d outliving=%.3f others=%d/%d",
+					session.request().id(), judgement.begins(), judgement.ageMs(), judgement.leftMs(),
+					judgement.outliving(), judgement.others().serving(), judgement.others().known());
 	}
 
 	private static long aimMs(Route route) {
--- a/whinjunction-router/src/main/java/io/whinjunction/router/Router.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/Router.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -28,6 +29,7 @@
 import io.whinjunction.http.server.StrictRequestDecoder;
 import io.whinjunction.proof.ConfigurationProof;
 import io.whinjunction.routing.CallerLimits;
+import io.whinjunction.routing.Route;
 import io.whinjunction.routing.RoutingConfiguration;
 import io.whinjunction.time.BootClock;
 import io.whinjunction.time.Closer;
@@ -109,11 +111,16 @@
 
 	private final CallersPort callersPort;
 
+	private final StopAdmission stopAdmission = new StopAdmission();
+
 	private Channel callerListener;
 
 	/** {@code null} until the process is told to stop. */
 	private StopSchedule stop;
 
+	/** When this process was last seen running, on the clock that counts suspensions. */
+	private long seenRunningMs;
+
 	/**
 	 * A router.
 	 * @param group its one event loop
@@ -155,6 +162,7 @@
 	 * constructor, so that one thread at a time loads classes.
 	 */
 	public void start() {
+		this.seenRunningMs = bootMs();
 		this.configurationKeeper.start();
 		this.directoryKeeper.start();
 		this.leadership.start();
@@ -292,12 +300,16 @@
 	 * @param stopped is run when it is
 	 */
 	public void stop(Runnable stopped) {
+		long signalledMs = nowMs();
 		this.loop.execute(() -> {
 			if (stopping()) {
 				return;
 			}
-			this.stop = new StopSchedule(nowMs(), this.settings.bounds().graceMs());
-			logger.atInfo().log("event=stopping callers=%d", this.callers.size());
+			long handledMs = bootMs() - (nowMs() - signalledMs);
+			this.stop = StopSchedule.dated(handledMs, this.seenRunningMs, this.settings.bounds().graceMs());
+			logger.atInfo()
+				.log("event=stopping callers=%d handled-late-ms=%d others=%d", this.callers.size(), stopAgeMs(),
+						this.peers.others(this.settings.failureDomain(), nowMs()).serving());
 			this.leadership.stop();
 			new StopSequence(this, this.stop, this::stopListening, stopped).start();
 		});
@@ -314,6 +326,7 @@
 	}
 
 	private void sweep() {
+		this.seenRunningMs = bootMs();
 		this.pool.sweep();
 		long idleMs = (configuration() != null) ? configuration().limits().idleTimeoutMs()
 				: CallerLimits.DEFAULT.idleTimeoutMs();
@@ -410,7 +423,31 @@
 
 	@Override
 	public boolean servesRequests() {
-		return this.stop == null || this.stop.servesRequests(nowMs());
+		return this.stop == null || this.stop.servesRequests(bootMs());
+	}
+
+	@Override
+	public long stopAgeMs() {
+		return stopping() ? this.stop.ageMs(bootMs()) : -1;
+	}
+
+	@Override
+	public Optional<StopAdmission.Judgement> judgeInStop(Route route, String service) {
+		return Optional.ofNullable(this.stop)
+			.map((schedule) -> this.stopAdmission.judge(schedule, bootMs(), service, route.repeatable(),
+					inProgressMs(service), this.peers.others(this.settings.failureDomain(), nowMs())));
+	}
+
+	private long[] inProgressMs(String service) {
+		return this.callers.stream()
+			.mapToLong((caller) -> caller.inProgressMs(service))
+			.filter((ms) -> ms >= 0)
+			.toArray();
+	}
+
+	@Override
+	public void answered(String service, long tookMs) {
+		this.stopAdmission.answered(service, tookMs);
 	}
 
 	/**
--- a/whinjunction-router/src/main/java/io/whinjunction/router/RouterContext.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/RouterContext.java
@@ -1,10 +1,12 @@
 package io.whinjunction.router;
 
+import java.util.Optional;
 import java.util.Set;
 
 import io.netty.channel.EventLoop;
 import io.whinjunction.forward.FleetRetryBudget;
 import io.whinjunction.proof.ConfigurationProof;
+import io.whinjunction.routing.Route;
 import io.whinjunction.routing.RoutingConfiguration;
 
 /**
@@ -91,12 +93,33 @@
 	 */
 	boolean stopping();
 
+	/**
+	 * How long this process has been stopping.
+	 * @return milliseconds since the signal; -1 where there was none
+	 */
+	long stopAgeMs();
+
 	/**
 	 * Whether new requests are served.
 	 * @return {@code false} where this process stops and is too late for them
 	 */
 	boolean servesRequests();
 
+	/**
+	 * Judges an attempt that would begin now, where this process stops.
+	 * @param route the route of its request
+	 * @param service its service
+	 * @return the judgement, or empty where this process goes on
+	 */
+	Optional<StopAdmission.Judgement> judgeInStop(Route route, String service);
+
+	/**
+	 * A request was answered as a whole.
+	 * @param service its service
+	 * @param tookMs how long it took, in milliseconds
+	 */
+	void answered(String service, long tookMs);
+
 	/**
 	 * Notices engines that don't answer.
 	 * @return the watch
--- a/whinjunction-router/src/main/java/io/whinjunction/router/StopSchedule.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/StopSchedule.java
@@ -7,7 +7,10 @@
  * The load it answers: the balancer takes a process out only after two questions that got
  * no yes, and where it has no other process to send to it goes on with this one. A stream
  * that began 3.1 s into a grace of 8 s was cut in the middle at its end; one that is
- * refused as not run goes to another process within a tenth of a second. Immutable.
+ * refused as not run goes to another process within a tenth of a second.
+ * <p>
+ * All times are of the clock that counts suspensions: the platform's grace goes on while
+ * a machine is suspended. Immutable.
  *
  * @param sinceMs when the signal came, in milliseconds
  * @param graceMs how long the process may take, in milliseconds
@@ -32,13 +35,54 @@
 	/** What is left of the grace for the process itself to end, in milliseconds. */
 	private static final long MARGIN_MS = 500;
 
+	/**
+	 * A running process notes the time at least this often, in milliseconds: two pauses
+	 * between its looks at idle connections.
+	 */
+	private static final long LONGEST_UNSEEN_MS = 1000;
+
+	/**
+	 * The schedule of a stop whose signal was handled late, by as much as is known.
+	 * <p>
+	 * The failure it is there for: a signal that comes while the process is suspended or
+	 * gets no processor is seen seconds later. Counted from there, requests are served
+	 * until the platform kills the process with all of them. Nobody knows when the signal
+	 * came, so it is dated to the last moment at which the process was seen running.
+	 * @param handledMs when it was handled
+	 * @param seenRunningMs when the process was last seen running
+	 * @param graceMs how long the process may take, in milliseconds
+	 * @return the schedule
+	 */
+	static StopSchedule dated(long handledMs, long seenRunningMs, long graceMs) {
+		boolean unseen = handledMs - seenRunningMs > LONGEST_UNSEEN_MS;
+		return new StopSchedule(unseen ? seenRunningMs : handledMs, graceMs);
+	}
+
+	/**
+	 * How long ago the signal came.
+	 * @param nowMs the time
+	 * @return milliseconds
+	 */
+	long ageMs(long nowMs) {
+		return nowMs - this.sinceMs;
+	}
+
+	/**
+	 * How long requests in progress have until they are cut.
+	 * @param nowMs the time
+	 * @return milliseconds; negative where the time is over
+	 */
+	long leftMs(long nowMs) {
+		return this.graceMs - MARGIN_MS - ageMs(nowMs);
+	}
+
 	/**
 	 * Whether a new request is served.
 	 * @param nowMs the time
 	 * @return {@code false} where it is refused
 	 */
 	boolean servesRequests(long nowMs) {
-		return nowMs - this.sinceMs < Math.min(SERVE_REQUESTS_MS, SERVE_REQUESTS_PART * this.graceMs);
+		return ageMs(nowMs) < Math.min(SERVE_REQUESTS_MS, SERVE_REQUESTS_PART * this.graceMs);
 	}
 
 	/**
@@ -47,7 +91,7 @@
 	 * @return {@code false} where the process no longer listens
 	 */
 	boolean takesConnections(long nowMs) {
-		return nowMs - this.sinceMs < Math.min(TAKE_CONNECTIONS_MS, TAKE_CONNECTIONS_PART * this.graceMs);
+		return ageMs(nowMs) < Math.min(TAKE_CONNECTIONS_MS, TAKE_CONNECTIONS_PART * this.graceMs);
 	}
 
 	/**
@@ -56,7 +100,7 @@
 	 * @return whether the grace is nearly over
 	 */
 	boolean over(long nowMs) {
-		return nowMs - this.sinceMs >= this.graceMs - MARGIN_MS;
+		return leftMs(nowMs) <= 0;
 	}
 
 }
--- a/whinjunction-router/src/main/java/io/whinjunction/router/StopSequence.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/StopSequence.java
@@ -1,5 +1,6 @@
 package io.whinjunction.router;
 
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
@@ -10,9 +11,10 @@
  * <p>
  * The failure it is there for: the balancer takes a process out only after two questions
  * that got no yes, and callers send on kept connections until they hear of the end. So
- * the process says at once that it is not ready, serves on, ends each connection with an
- * answer, then refuses, then takes no more, and leaves when nothing is in progress or its
- * grace is nearly over. Confined to the event loop.
+ * the process says at once that it is not ready, serves what ends in time, ends each
+ * connection with an answer, then refuses, then takes no more, and leaves when nothing is
+ * in progress or its grace is nearly over; whoever still waits then for the beginning of
+ * an answer is told so. Confined to the event loop.
  */
 final class StopSequence {
 
@@ -50,13 +52,14 @@
 	}
 
 	private void look() {
-		long nowMs = this.router.nowMs();
-		long busy = this.router.callers().stream().filter(CallerConnection::busy).count();
+		long nowMs = this.router.bootMs();
+		List<CallerConnection> busy = this.router.callers().stream().filter(CallerConnection::busy).toList();
 		if (!this.schedule.takesConnections(nowMs)) {
 			stopAcceptingOnce();
 			Set.copyOf(this.router.callers()).forEach(CallerConnection::closeIfIdle);
-			if (busy == 0 || this.schedule.over(nowMs)) {
-				logger.atInfo().log("event=stopped cut=%d took-ms=%d", busy, nowMs - this.schedule.sinceMs());
+			if (busy.isEmpty() || this.schedule.over(nowMs)) {
+				busy.forEach(CallerConnection::routerEnds);
+				logger.atInfo().log("event=stopped cut=%d took-ms=%d", busy.size(), this.schedule.ageMs(nowMs));
 				this.stopped.run();
 				return;
 			}
