The questions of one look are the hops of the longest path by name

The figure stood in two modules, so that a longer path would have been asked in two looks without anything saying why. Same value; no behaviour changes.

--- a/whinjunction-router/src/main/java/io/whinjunction/router/QuestionBudget.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/QuestionBudget.java
@@ -1,5 +1,7 @@
 package io.whinjunction.router;
 
+import io.whinjunction.chain.PathFinder;
+
 /**
  * How many questions a router may ask engines.
  * <p>
@@ -15,8 +17,8 @@
  */
 final class QuestionBudget {
 
-	/** The questions of one look: the longest path. */
-	static final int AT_ONCE = 32;
+	/** The questions of one look: all engines of the longest path. */
+	static final int AT_ONCE = PathFinder.MOST_HOPS;
 
 	/** Questions a second of all routers together: two for each engine of a hundred. */
 	private static final double FLEET_PER_SECOND = 250;
