--- a/whinjunction-router/src/main/java/io/whinjunction/router/StallRules.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/StallRules.java
@@ -65,7 +65,7 @@
 	 * @return whether it is late by itself
 	 */
 	static boolean late(Pause pause) {
-		return pause.quietMs() > Math.clamp(ALONE_GAPS * pause.usualGapMs(), LEAST_ALONE_MS, MOST_ALONE_MS);
+		return pause.quietMs() > aloneMs(pause);
 	}
 
 	/**
@@ -105,7 +105,7 @@
 			if (!pause.begun()) {
 				continue;
 			}
-			if (lateTogether(pause)) {
+			if (pause.quietMs() > togetherMs(pause)) {
 				pause.engineIds().forEach((id) -> late.merge(id, 1, Integer::sum));
 			}
 			else {
@@ -121,8 +121,8 @@
 		return standing;
 	}
 
-	private static boolean lateTogether(Pause pause) {
-		return pause.quietMs() > togetherMs(pause);
+	private static double aloneMs(Pause pause) {
+		return Math.clamp(ALONE_GAPS * pause.usualGapMs(), LEAST_ALONE_MS, MOST_ALONE_MS);
 	}
 
 	private static double togetherMs(Pause pause) {
@@ -138,8 +138,7 @@
 	 * @return milliseconds from now; 0 where it is late already
 	 */
 	static double untilLateMs(Pause pause) {
-		double limitMs = pause.begun() ? togetherMs(pause)
-				: Math.clamp(ALONE_GAPS * pause.usualGapMs(), LEAST_ALONE_MS, MOST_ALONE_MS);
+		double limitMs = pause.begun() ? togetherMs(pause) : aloneMs(pause);
 		return Math.max(0, limitMs - pause.quietMs());
 	}
 
