--- a/whinjunction-router/src/main/java/io/whinjunction/router/Addresses.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/Addresses.java
@@ -29,11 +29,11 @@
 
 	/**
 	 * Reads an address.
-	 * @param text {@code IP:PORT}
+	 * @param text a text that is {@link #valid}
 	 * @return the address
-	 * @throws IllegalArgumentException where it is none
+	 * @throws IllegalArgumentException where there is no port
 	 */
-	static InetSocketAddress parse(String text) {
+	public static InetSocketAddress parse(String text) {
 		int colon = text.lastIndexOf(':');
 		return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
 	}
