--- a/whinjunction-router/src/main/java/io/whinjunction/router/LayerKeeper.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/LayerKeeper.java
@@ -5,7 +5,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
@@ -248,22 +247,27 @@
 					|| (report.isPresent() && !this.router.directory().confirm(state.upstream(), report.get()))) {
 				// It has started again: it counts its orders anew and holds nothing of
 				// what the plan was made for.
-				logger.atWarning().log("event=order-dropped engine=%s reason=restarted-or-gone", engine.id());
-				return;
+				dropped(engine, "restarted-or-gone");
+			}
+			else if (report.isEmpty()) {
+				dropped(engine, "no-report");
+			}
+			else if (!this.leadership.holds()) {
+				dropped(engine, "no-lease");
+			}
+			else {
+				place(engine, placement.layers(), report.get());
 			}
-			place(engine, placement.layers(), report);
 		});
 	}
 
-	private void place(Engine engine, LayerRange layers, Optional<EngineReport> report) {
-		if (report.isEmpty() || !this.leadership.holds()) {
-			logger.atWarning()
-				.log("event=order-dropped engine=%s reason=%s", engine.id(),
-						report.isEmpty() ? "no-report" : "no-lease");
-			return;
-		}
+	private static void dropped(Engine engine, String reason) {
+		logger.atWarning().log("event=order-dropped engine=%s reason=%s", engine.id(), reason);
+	}
+
+	private void place(Engine engine, LayerRange layers, EngineReport report) {
 		EngineControl.PlaceOrder order = new EngineControl.PlaceOrder(layers, this.leadership.fencing(),
-				report.get().orders());
+				report.orders());
 		this.engines.place(engine.address(), order, (reply) -> took(engine, order, reply));
 	}
 
