What an attempt counts for at engines is a class of its own

Attempt sends, reads answers, goes round silent engines and counted load; the counting has its own invariant, that all that was counted is taken back, and is now EngineLoad. No behaviour changes.

--- a/whinjunction-router/src/main/java/io/whinjunction/router/Attempt.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/Attempt.java
@@ -40,6 +40,8 @@
 
 	private Target target;
 
+	private final EngineLoad load;
+
 	private UpstreamConnection connection;
 
 	private boolean sent;
@@ -54,9 +56,6 @@
 
 	private boolean detouring;
 
-	/** Whether its prompt counts as unread at the engines of its path. */
-	private boolean reading;
-
 	private int pieces;
 
 	private long firstAtMs;
@@ -66,6 +65,8 @@
 	Attempt(ForwardSession session, Target target) {
 		this.session = session;
 		this.target = target;
+		this.load = new EngineLoad(session.router().directory(), target, session.request().promptTokens(),
+				session.expectedTokens());
 	}
 
 	Target target() {
@@ -77,7 +78,7 @@
 	}
 
 	void start() {
-		count(true);
+		this.load.began();
 		// A kept connection may end at the very moment at which a request is written to
 		// it, and then nobody knows whether it ran. What must not be repeated gets a new
 		// one, which costs a millisecond.
@@ -121,7 +122,7 @@
 		this.progressAtMs = this.session.router().nowMs();
 		if (!this.target.path().isEmpty()) {
 			this.session.router().watch().add(this);
-			countReading(true);
+			this.load.readingBegan();
 		}
 		this.session.countSent(this.target.first().incarnation());
 		CallerRequest request = this.session.request();
@@ -269,9 +270,8 @@
 					reply);
 		this.detouring = false;
 		if (reply instanceof OrderReply.Accepted) {
-			count(false);
 			this.target = new Target(this.target.first(), path);
-			count(true);
+			this.load.moved(this.target);
 			this.progressAtMs = this.session.router().nowMs();
 		}
 		else {
@@ -330,7 +330,7 @@
 			this.progressAtMs = this.session.router().nowMs();
 			if (this.pieces == 0) {
 				this.firstAtMs = this.progressAtMs;
-				countReading(false);
+				this.load.readingEnded();
 			}
 			this.pieces++;
 			this.session.onEvents(this.answer, whole);
@@ -423,47 +423,8 @@
 	private void settle() {
 		this.ended = true;
 		this.session.router().watch().remove(this);
-		countReading(false);
-		count(false);
-	}
-
-	private void countReading(boolean begins) {
-		if (this.reading == begins) {
-			return;
-		}
-		this.reading = begins;
-		for (Hop hop : this.target.path()) {
-			UpstreamState state = this.session.router().directory().find(hop.engine().id());
-			if (state != null && begins) {
-				state.readingBegan(promptTokens());
-			}
-			else if (state != null) {
-				state.readingEnded(promptTokens());
-			}
-		}
-	}
-
-	private void count(boolean begins) {
-		if (this.target.path().isEmpty()) {
-			count(this.target.first().incarnation(), 0, begins);
-		}
-		long tokens = this.session.expectedTokens();
-		for (Hop hop : this.target.path()) {
-			count(hop.engine().id(), tokens * (hop.layers().end() - hop.layers().first()), begins);
-		}
-	}
-
-	private void count(String upstreamId, long tokenLayers, boolean begins) {
-		UpstreamState state = this.session.router().directory().find(upstreamId);
-		if (state == null) {
-			return;
-		}
-		if (begins) {
-			state.began(tokenLayers);
-		}
-		else {
-			state.ended(tokenLayers);
-		}
+		this.load.readingEnded();
+		this.load.ended();
 	}
 
 }
