Comments that were torn at single words are wrapped again

Lines a little too long had been broken after their last words, which stood alone in the middle of sentences. No word differs, no code does, and the formatter leaves them.

--- a/whinjunction-core/src/main/java/io/whinjunction/chain/LayerPlanner.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/chain/LayerPlanner.java
@@ -174,8 +174,7 @@
 		}
 
 		// A copy of the largest holder's layers also makes its loss smaller. For any
-		// other
-		// one, enough has to stay empty to take the largest holder's place.
+		// other one, enough has to stay empty to take the largest holder's place.
 		private boolean affordable(Engine crowded) {
 			int largest = this.holders.stream().mapToInt(Engine::heldLayers).max().orElse(0);
 			int left = this.empty.subList(0, this.empty.size() - 1).stream().mapToInt(this::most).sum();
--- a/whinjunction-core/src/main/java/io/whinjunction/http/AsyncCaller.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/http/AsyncCaller.java
@@ -92,8 +92,7 @@
 	}
 
 	// The library would read all trusted certificates when it starts, 150 ms of a core,
-	// for
-	// calls that are never encrypted.
+	// for calls that are never encrypted.
 	private static SSLEngine noTls(AsyncHttpClientConfig config, String host, int port) {
 		throw new IllegalStateException("calls to " + host + ":" + port + " are not encrypted");
 	}
--- a/whinjunction-core/src/test/java/io/whinjunction/admission/AdmissionQueueTests.java
+++ b/whinjunction-core/src/test/java/io/whinjunction/admission/AdmissionQueueTests.java
@@ -100,8 +100,7 @@
 	}
 
 	// A tenth of the engines degrades or a link slows: what was the right limit is too
-	// much.
-	// Answers must be in time again before long, not late for as long as it lasts.
+	// much. Answers must be in time again before long, not late for as long as it lasts.
 	@Test
 	void theLimitFallsWhenUpstreamsSlowDown() {
 		AdmissionQueue queue = new AdmissionQueue(ConcurrencyLimit.learned(256), 64);
--- a/whinjunction-core/src/test/java/io/whinjunction/chain/CrowdingTests.java
+++ b/whinjunction-core/src/test/java/io/whinjunction/chain/CrowdingTests.java
@@ -19,8 +19,8 @@
 	}
 
 	// A copy of a third of a fast engine's layers on a slow one costs 1.7 ms more a step;
-	// it is
-	// of use only if a nearly full engine costs more than that for a third of its layers.
+	// it is of use only if a nearly full engine costs more than that for a third of its
+	// layers.
 	@Test
 	void aNearlyFullEngineCostsMoreThanASlowCopyOfAThirdOfIt() {
 		double slowerMs = 9 * (MixedCards.PROFILE.layerStepMs(MixedCards.L4, 50)
@@ -31,11 +31,9 @@
 	}
 
 	// Streams stand still for two seconds: an engine with room for twenty requests is
-	// sent
-	// more by eight routers, each of which knows what the others did a quarter of a
-	// second
-	// ago. What may have come since is kept free, and it is a larger part of a small
-	// room.
+	// sent more by eight routers, each of which knows what the others did a quarter of a
+	// second ago. What may have come since is kept free, and it is a larger part of a
+	// small room.
 	@Test
 	void aSmallRoomCountsAsFullSooner() {
 		assertThat(Crowding.full(0.8, 100_000)).isFalse();
--- a/whinjunction-core/src/test/java/io/whinjunction/chain/LayerPlannerTests.java
+++ b/whinjunction-core/src/test/java/io/whinjunction/chain/LayerPlannerTests.java
@@ -30,9 +30,8 @@
 	}
 
 	// A large failure domain serves like a small one: of 300 engines 20 held two
-	// replicas,
-	// the rest stood empty, and any loss hit half of its streams. Most engines must work,
-	// in many replicas, and a part stays empty for losses.
+	// replicas, the rest stood empty, and any loss hit half of its streams. Most engines
+	// must work, in many replicas, and a part stays empty for losses.
 	@Test
 	void aLargeFailureDomainHoldsManyReplicasAndKeepsAPartEmpty() {
 		List<Engine> engines = new ArrayList<>();
@@ -64,11 +63,9 @@
 	}
 
 	// The caller sees refusals and gaps of seconds for the rest of the day. The engine
-	// with
-	// 25 layers leaves; the first three empty engines took 11, 11 and 3 of them, so that
-	// the
-	// narrowest part of each path had room for 20 requests where it had 100 before. The
-	// layers have to be divided so that the path stays about as wide.
+	// with 25 layers leaves; the first three empty engines took 11, 11 and 3 of them, so
+	// that the narrowest part of each path had room for 20 requests where it had 100
+	// before. The layers have to be divided so that the path stays about as wide.
 	@Test
 	void whenTheLargestEngineIsLostTheEmptyOnesShareItsLayersAndKeepRoom() {
 		List<Engine> before = plan(MixedCards.emptyDomain("a"));
@@ -94,8 +91,7 @@
 	}
 
 	// Nobody notices more than a detour of a second: no engine is empty, so the two
-	// beside
-	// the hole load its layers while they serve their own.
+	// beside the hole load its layers while they serve their own.
 	@Test
 	void withoutAnEmptyEngineTheNeighboursExtend() {
 		List<Engine> engines = List.of(MixedCards.holding("1", "a", MixedCards.A100, 0, 20),
@@ -118,10 +114,8 @@
 	}
 
 	// Seventeen in a hundred are on time: 133 requests wait at an engine whose memory is
-	// full
-	// while engines beside it are empty. One of them takes a copy of a part of its
-	// layers,
-	// and one stays empty for the next loss.
+	// full while engines beside it are empty. One of them takes a copy of a part of its
+	// layers, and one stays empty for the next loss.
 	@Test
 	void aCrowdedEngineIsHelpedByAnEmptyOneAndOneStaysEmpty() {
 		List<Engine> engines = plan(MixedCards.emptyDomain("a"));
--- a/whinjunction-core/src/test/java/io/whinjunction/chain/PathCostsTests.java
+++ b/whinjunction-core/src/test/java/io/whinjunction/chain/PathCostsTests.java
@@ -16,8 +16,7 @@
 
 	// Fifty drafts of a lost path begin anew at the same moment. All of them chose the
 	// fastest failure domain, whose largest engine reads one prompt in 4.7 ms, and the
-	// last
-	// of them stood still for a quarter of a second. They have to share the others.
+	// last of them stood still for a quarter of a second. They have to share the others.
 	@Test
 	void promptsThatComeAtOnceAreSharedOverFailureDomains() {
 		List<Engine> engines = new ArrayList<>();
--- a/whinjunction-core/src/test/java/io/whinjunction/chain/PathFinderTests.java
+++ b/whinjunction-core/src/test/java/io/whinjunction/chain/PathFinderTests.java
@@ -31,8 +31,7 @@
 
 	// Events come 450 ms apart. A hole at home sent each request's activations to another
 	// failure domain and back, and the pipe between them carried a third of what they
-	// were.
-	// A request that goes there as a whole sends only its text.
+	// were. A request that goes there as a whole sends only its text.
 	@Test
 	void aPathWithAHoleAtHomeLiesElsewhereAsAWhole() {
 		List<PathFinder.Candidate> engines = candidates(MixedCards.holding("a1", "a", MixedCards.A100, 0, 40),
--- a/whinjunction-core/src/test/java/io/whinjunction/configuration/FreshnessTests.java
+++ b/whinjunction-core/src/test/java/io/whinjunction/configuration/FreshnessTests.java
@@ -37,8 +37,7 @@
 	}
 
 	// The entry is cut off with few others. Elsewhere a place rule may be tightened, so
-	// it
-	// has to refuse although it still exchanges with those few.
+	// it has to refuse although it still exchanges with those few.
 	@Test
 	void theSmallerPartOfACutFleetRefuses() {
 		this.freshness.confirmed(0);
--- a/whinjunction-core/src/test/java/io/whinjunction/forward/RetryPolicyTests.java
+++ b/whinjunction-core/src/test/java/io/whinjunction/forward/RetryPolicyTests.java
@@ -22,8 +22,7 @@
 			new AttemptEnd.Unknown("x"), new AttemptEnd.Failed("x") };
 
 	// A clerk's confirmation is billed twice: the first upstream ran it and its answer
-	// was
-	// lost, and a second one ran it again.
+	// was lost, and a second one ran it again.
 	@Property
 	void whatMustNotBeRepeatedIsNeverSentAgainAfterItMayHaveRun(@ForAll @IntRange(min = 0, max = 3) int end,
 			@ForAll boolean before, @ForAll @IntRange(min = 1, max = 4) int sent) {
--- a/whinjunction-core/src/test/java/io/whinjunction/http/HttpCallerTests.java
+++ b/whinjunction-core/src/test/java/io/whinjunction/http/HttpCallerTests.java
@@ -60,8 +60,7 @@
 
 	// An action runs twice: a call's time was over on a starved machine before it had
 	// connected, it was told as not sent and made again elsewhere, and the library wrote
-	// it
-	// after all. What was told as not sent may not be written any more.
+	// it after all. What was told as not sent may not be written any more.
 	@Test
 	void aCallThatWasToldAsNotSentIsNeverWritten() {
 		LibraryCalls.Observer observer = new LibraryCalls.Observer((result) -> {
@@ -83,8 +82,7 @@
 	}
 
 	// The same with the library itself: nobody has accepted the connection when the call
-	// is
-	// given up, and nothing may arrive when somebody does.
+	// is given up, and nothing may arrive when somebody does.
 	@Test
 	void theLibraryDropsACallThatWasGivenUpBeforeItWasWritten() throws Exception {
 		serve((socket) -> sleep(100));
--- a/whinjunction-core/src/test/java/io/whinjunction/lease/LeaseTermTests.java
+++ b/whinjunction-core/src/test/java/io/whinjunction/lease/LeaseTermTests.java
@@ -33,8 +33,8 @@
 	}
 
 	// Two routers give orders: the holder was paused in the middle and does not know that
-	// its
-	// lease is another's by now. It stops by its own clock before others may take over.
+	// its lease is another's by now. It stops by its own clock before others may take
+	// over.
 	@Test
 	void aHolderStopsBeforeOthersMayTakeOver() {
 		this.term.written(new LeaseTerm.Claim(4, 10), 11, 0);
--- a/whinjunction-core/src/test/java/io/whinjunction/order/PlacementPlannerTests.java
+++ b/whinjunction-core/src/test/java/io/whinjunction/order/PlacementPlannerTests.java
@@ -60,8 +60,7 @@
 	}
 
 	// Regression: spares had replaced engines that came back later, so their ranges had
-	// one
-	// holder too many and no spare was left when another range lost one.
+	// one holder too many and no spare was left when another range lost one.
 	@Test
 	void withoutASpareASurplusHolderFillsAGap() {
 		assertThat(plan(4, 0, held("a", LOWER), held("b", LOWER), held("b2", LOWER), held("c", UPPER))).singleElement()
--- a/whinjunction-core/src/test/java/io/whinjunction/proof/ConfigurationProofTests.java
+++ b/whinjunction-core/src/test/java/io/whinjunction/proof/ConfigurationProofTests.java
@@ -18,9 +18,8 @@
 	}
 
 	// A key that was taken away an hour ago works: the machine was suspended, and the
-	// clock
-	// that does not count the suspension shows the proof as fresh. The clock handed in
-	// counts it, so the first look after it refuses.
+	// clock that does not count the suspension shows the proof as fresh. The clock handed
+	// in counts it, so the first look after it refuses.
 	@Test
 	void aProofIsOldAfterASuspension() {
 		this.proof.proved(1000);
--- a/whinjunction-router/src/main/java/io/whinjunction/router/ConfigurationKeeper.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/ConfigurationKeeper.java
@@ -116,8 +116,7 @@
 		}
 		else if (version > own && !this.inTouch && !this.fetching) {
 			// The store turns this router away and serves others: keys that were taken
-			// away
-			// meanwhile are known only there.
+			// away meanwhile are known only there.
 			this.fetching = true;
 			long askedAtMs = this.boot.nowMs();
 			this.store.fetchConfiguration(peerAddress, (reply) -> takeFetched(reply, askedAtMs));
--- a/whinjunction-router/src/main/java/io/whinjunction/router/EngineWatch.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/EngineWatch.java
@@ -170,8 +170,7 @@
 	}
 
 	// Whoever neither plans repairs nor has a stream there only leaves the engine alone:
-	// of
-	// 88 routers that heard of four dead engines, each asked all four, 2.5 times a
+	// of 88 routers that heard of four dead engines, each asked all four, 2.5 times a
 	// second.
 	private boolean passedByOwn(String incarnation) {
 		return this.streams.stream()
@@ -224,8 +223,7 @@
 		long nowMs = this.router.nowMs();
 		// The shortest prompts first: a stream that goes on elsewhere has its prompt read
 		// anew there, one after the other, and so most of them go on within the pause
-		// that
-		// callers are promised.
+		// that callers are promised.
 		List<Attempt> ordered = new ArrayList<>(this.streams);
 		ordered.sort(Comparator.comparingInt(Attempt::promptTokens));
 		Map<Attempt, StallRules.Pause> pauses = new LinkedHashMap<>();
--- a/whinjunction-router/src/test/java/io/whinjunction/router/PeerTableTests.java
+++ b/whinjunction-router/src/test/java/io/whinjunction/router/PeerTableTests.java
@@ -17,10 +17,8 @@
 	private final PeerTable table = new PeerTable("10.0.0.1:1", new Random(1));
 
 	// A key that was taken away works at a router that the store does not answer: it took
-	// a
-	// peer's proof for as young as the answer. What the peer says is at least as old as
-	// the
-	// question, and older by the age of the peer's own proof.
+	// a peer's proof for as young as the answer. What the peer says is at least as old as
+	// the question, and older by the age of the peer's own proof.
 	@Test
 	void aProofIsDatedByTheQuestionAndItsAgeThere() {
 		long question = this.table.ask(10_000);
@@ -46,8 +44,7 @@
 	}
 
 	// Repeats of all routers go over their bound: one that is cut off sees no others and
-	// takes
-	// all of the slack for itself. Routers that are silent still count.
+	// takes all of the slack for itself. Routers that are silent still count.
 	@Test
 	void aRouterThatHearsNobodyStillSharesWithThoseItKnows() {
 		this.table.addresses(List.of("10.0.0.2:1", "10.0.0.3:1", "10.0.0.1:1"));
@@ -74,10 +71,8 @@
 	}
 
 	// The store is asked for the lease twice a second by most of 88 routers, since each
-	// hears
-	// only some of the others and seldom the holder. The word of it is passed on, with
-	// its
-	// age, and grows old like one's own.
+	// hears only some of the others and seldom the holder. The word of it is passed on,
+	// with its age, and grows old like one's own.
 	@Test
 	void theHoldersWordIsPassedOnWithItsAge() {
 		this.table.heard(ofLeader("10.0.0.2:1", false, false, 600), 1_000);
--- a/whinjunction-router/src/test/java/io/whinjunction/router/QuestionBudgetTests.java
+++ b/whinjunction-router/src/test/java/io/whinjunction/router/QuestionBudgetTests.java
@@ -17,8 +17,8 @@
 	}
 
 	// 88 routers with late streams on every path asked 580 times a second, and the
-	// answers
-	// made more streams late. Over ten seconds the sum has to stay near its bound.
+	// answers made more streams late. Over ten seconds the sum has to stay near its
+	// bound.
 	@Test
 	void aFleetWhoseStreamsAreAllLateKeepsItsSumOfQuestions() {
 		int sum = 0;
--- a/whinjunction-router/src/test/java/io/whinjunction/router/StallRulesTests.java
+++ b/whinjunction-router/src/test/java/io/whinjunction/router/StallRulesTests.java
@@ -16,10 +16,9 @@
 	private static final double GAP_MS = 46;
 
 	// Callers see a pause of 280 to 460 ms where 250 are promised: an engine of a path
-	// dies,
-	// eight streams over it stop, each somewhere between two events, and nobody is asked
-	// until one of them has been late for three gaps. Together they are a sign 55 ms
-	// sooner.
+	// dies, eight streams over it stop, each somewhere between two events, and nobody is
+	// asked until one of them has been late for three gaps. Together they are a sign 55
+	// ms sooner.
 	@Test
 	void aDeadEngineIsAskedAsSoonAsAllItsStreamsAreLate() {
 		assertThat(firstAskedMs(true)).isBetween(80L, 90L);
@@ -31,8 +30,7 @@
 			List<Pause> pauses = new ArrayList<>();
 			for (int stream = 0; stream < 8; stream++) {
 				// The last event came up to one gap before the death; the first stream
-				// had its
-				// event just then.
+				// had its event just then.
 				pauses.add(pause(sinceDeathMs + (long) (stream * GAP_MS / 8), "first", "dead"));
 			}
 			boolean asked = together ? StallRules.standing(pauses).contains("dead")
@@ -75,10 +73,8 @@
 	}
 
 	// All drafts of a zone begin anew twice after a restart: a router with a cold
-	// processor
-	// needs 4 ms for each question, asks 36 engines in a row and looks at the answers
-	// when
-	// it is through. What it missed meanwhile says nothing of the engines.
+	// processor needs 4 ms for each question, asks 36 engines in a row and looks at the
+	// answers when it is through. What it missed meanwhile says nothing of the engines.
 	@Test
 	void aRouterThatIsSlowItselfJudgesNoEngine() {
 		long throughMs = 36 * 4;
--- a/whinjunction-router/src/test/java/io/whinjunction/router/UpstreamDirectoryTests.java
+++ b/whinjunction-router/src/test/java/io/whinjunction/router/UpstreamDirectoryTests.java
@@ -37,8 +37,7 @@
 	}
 
 	// A request reaches a service that it must never reach: the address of a server that
-	// is
-	// gone was given to another service's. Addresses lead to whoever was listed last.
+	// is gone was given to another service's. Addresses lead to whoever was listed last.
 	@Test
 	void anAddressThatIsUsedAgainLeadsToItsNewOwner() {
 		this.directory.replace(List.of(upstream("1", "a:1", false)));
@@ -48,9 +47,8 @@
 	}
 
 	// Drafts are sent to an engine that holds nothing, one after the other: it crashed
-	// and
-	// started again under its name before the list showed that it was gone, and its room,
-	// suspicions and connections were still those of before.
+	// and started again under its name before the list showed that it was gone, and its
+	// room, suspicions and connections were still those of before.
 	@Test
 	void anEngineThatStartsAgainUnderItsNameSharesNothingWithItsEarlierStart() {
 		this.directory.replace(List.of(engine(1_000, new LayerRange(0, 40))));
@@ -117,8 +115,7 @@
 
 	// An engine counts as full for the rest of the day: requests under way were counted
 	// under its name alone, an entry then said when it had started, and their ends were
-	// no
-	// longer found. What was counted under the one is not kept under the other.
+	// no longer found. What was counted under the one is not kept under the other.
 	@Test
 	void whatWasCountedBeforeAStartWasKnownIsNotKeptUnderIt() {
 		this.directory.replace(List.of(engine(Upstream.BORN_UNKNOWN, new LayerRange(0, 40))));
