When the watch looks next, and how late it came, is a class of its own

EngineWatch judges engines; the one timer that it looks by, and the delay of this process measured with it, are now LookTimer. Pauses and limits are as before.

--- a/whinjunction-router/src/main/java/io/whinjunction/router/EngineWatch.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/EngineWatch.java
@@ -13,7 +13,6 @@
 import java.util.function.BooleanSupplier;
 
 import com.google.common.flogger.FluentLogger;
-import io.netty.util.concurrent.ScheduledFuture;
 import io.whinjunction.chain.Hop;
 
 /**
@@ -33,15 +32,6 @@
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-	/**
-	 * The pause between two looks while a stream is late or an engine suspect, in
-	 * milliseconds: a tenth of a promised pause.
-	 */
-	private static final long PERIOD_MS = 20;
-
-	/** The longest pause between two looks, in milliseconds, while there are streams. */
-	private static final long LONGEST_PERIOD_MS = 100;
-
 	/** An engine answers in a few milliseconds; in this time even a slowed one does. */
 	private static final long ANSWER_MS = 80;
 
@@ -52,9 +42,6 @@
 	 */
 	private static final long ANSWER_BESIDE_OTHERS_MS = 40;
 
-	/** Delays of this process count for this long, in milliseconds: a question's time. */
-	private static final long DELAY_REMEMBERED_MS = 150;
-
 	private static final long ASK_PAUSE_MS = 400;
 
 	/**
@@ -84,14 +71,7 @@
 
 	private final Map<String, Suspicion> suspicions = new HashMap<>();
 
-	/** The look to come; {@code null} while there is nothing to look at. */
-	private ScheduledFuture<?> nextLook;
-
-	private long nextLookAtMs;
-
-	private long delayMs;
-
-	private long delayedAtMs;
+	private final LookTimer timer;
 
 	private final Map<String, Long> askedAtMs = new HashMap<>();
 
@@ -109,24 +89,12 @@
 		this.router = router;
 		this.engines = engines;
 		this.news = news;
+		this.timer = new LookTimer(router, this::look);
 	}
 
 	void add(Attempt stream) {
 		this.streams.add(stream);
-		lookIn(LONGEST_PERIOD_MS);
-	}
-
-	private void lookIn(double pauseMs) {
-		long waitMs = Math.clamp((long) Math.ceil(pauseMs), PERIOD_MS, LONGEST_PERIOD_MS);
-		long atMs = this.router.nowMs() + waitMs;
-		if (this.nextLook != null && this.nextLookAtMs <= atMs) {
-			return;
-		}
-		if (this.nextLook != null) {
-			this.nextLook.cancel(false);
-		}
-		this.nextLookAtMs = atMs;
-		this.nextLook = this.router.loop().schedule(this::look, waitMs, TimeUnit.MILLISECONDS);
+		this.timer.lookWithin(LookTimer.LONGEST_MS);
 	}
 
 	void remove(Attempt stream) {
@@ -181,13 +149,11 @@
 	}
 
 	private void look() {
-		measureDelay();
-		this.nextLook = null;
 		if (this.streams.isEmpty() && this.suspicions.isEmpty()) {
 			return;
 		}
 		Map<Attempt, StallRules.Pause> pauses = pauses();
-		lookIn(this.suspicions.isEmpty() ? untilLateMs(pauses) : PERIOD_MS);
+		this.timer.lookWithin(this.suspicions.isEmpty() ? untilLateMs(pauses) : LookTimer.SHORTEST_MS);
 		moveFromSuspects(pauses);
 		Round round = new Round();
 		StallRules.standing(pauses.values()).forEach(round::ask);
@@ -207,16 +173,7 @@
 	}
 
 	private static double untilLateMs(Map<Attempt, StallRules.Pause> pauses) {
-		return pauses.values().stream().mapToDouble(StallRules::untilLateMs).min().orElse(LONGEST_PERIOD_MS);
-	}
-
-	private void measureDelay() {
-		long nowMs = this.router.nowMs();
-		long lateMs = nowMs - this.nextLookAtMs;
-		if (lateMs >= this.delayMs || nowMs - this.delayedAtMs > DELAY_REMEMBERED_MS) {
-			this.delayMs = Math.max(0, lateMs);
-			this.delayedAtMs = nowMs;
-		}
+		return pauses.values().stream().mapToDouble(StallRules::untilLateMs).min().orElse(LookTimer.LONGEST_MS);
 	}
 
 	private Map<Attempt, StallRules.Pause> pauses() {
@@ -271,7 +228,7 @@
 		}
 		Suspicion suspicion = this.suspicions.computeIfAbsent(upstream.incarnation(), (id) -> new Suspicion(upstream));
 		suspicion.unanswered++;
-		lookIn(PERIOD_MS);
+		this.timer.lookWithin(LookTimer.SHORTEST_MS);
 		state.avoidUntil(this.router.nowMs() + AVOID_MS);
 		if (suspicion.unanswered <= LOST_AFTER) {
 			logger.atWarning()
@@ -293,7 +250,7 @@
 	}
 
 	private boolean conclusive(long askedMs, long limitMs) {
-		return StallRules.conclusive(this.router.nowMs() - askedMs, limitMs, this.delayMs);
+		return StallRules.conclusive(this.router.nowMs() - askedMs, limitMs, this.timer.delayMs());
 	}
 
 	/** Engines that are asked at the same moment; confined to the event loop. */
