--- a/whinjunction-router/src/main/java/io/whinjunction/router/EngineLoad.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/EngineLoad.java
@@ -49,8 +49,9 @@
 	}
 
 	/**
-	 * The request counts at another path. Its prompt must have been read: a path that
-	 * changes before counts as unread at engines that never read it.
+	 * The request counts at another path. Its prompt must have been read, since unread
+	 * tokens would later be taken back from the engines of the new path, which never had
+	 * them.
 	 * @param elsewhere the new path
 	 */
 	void moved(Target elsewhere) {
