A stop judges actions apart, at any size of the fleet, and dates a late signal

Cause: (1) of a large fleet a router hears some 36 others in the time after which one counts as silent, so that the rest was taken for gone and nothing was ever judged; (2) durations were kept by service, and an action that takes seconds hid behind the status checks of its service; twenty requests don't tell one in a hundred; (3) on waking, the overdue note that the process runs came before the signal was handled, and hid the suspension.

Change: PeerTable.others counts as many as can be heard; StopAdmission keeps durations by service and kind of route, asks for enough of them to tell the part that may be cut, and begins nothing with less than a second left; RunningTimes remembers the last gap.

--- a/whinjunction-router/src/main/java/io/whinjunction/router/CallerConnection.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/CallerConnection.java
@@ -286,12 +286,12 @@
 
 	/**
 	 * How long the current request has taken so far.
-	 * @param service the service that is meant
-	 * @return milliseconds; -1 where there is no request to it
+	 * @param family the requests that are meant
+	 * @return milliseconds; -1 where there is none of them
 	 */
-	long inProgressMs(String service) {
+	long inProgressMs(StopAdmission.Family family) {
 		boolean one = this.session != null && this.session.service() != null
-				&& this.session.service().name().equals(service);
+				&& StopAdmission.Family.of(this.session.route(), this.session.service()).equals(family);
 		return one ? this.router.nowMs() - this.session.startedMs() : -1;
 	}
 
--- a/whinjunction-router/src/main/java/io/whinjunction/router/ForwardSession.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/ForwardSession.java
@@ -247,7 +247,7 @@
 	}
 
 	private boolean outlivesRouter() {
-		Optional<StopAdmission.Judgement> judgement = this.router.judgeInStop(this.route, this.service.name());
+		Optional<StopAdmission.Judgement> judgement = this.router.judgeInStop(this.route, this.service);
 		judgement.ifPresent((judged) -> RequestLog.judgedInStop(this, judged));
 		return judgement.isPresent() && !judgement.get().begins();
 	}
@@ -452,7 +452,7 @@
 			this.attempt = null;
 		}
 		if (this.service != null && outcome.equals("answered")) {
-			this.router.answered(this.service.name(), this.router.nowMs() - this.startedMs);
+			this.router.answered(this.route, this.service, this.router.nowMs() - this.startedMs);
 		}
 		RequestLog.ended(this, outcome, reason);
 	}
--- a/whinjunction-router/src/main/java/io/whinjunction/router/PeerTable.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/PeerTable.java
@@ -155,7 +155,8 @@
 
 	/**
 	 * The routers that a caller whom this one refuses may reach: those of the same
-	 * failure domain, or where there are no others, all.
+	 * failure domain, or where there are no others, all. Of a large fleet only as many
+	 * count as known as can be heard in time.
 	 * @param failureDomain the failure domain of this router
 	 * @param nowMs the time
 	 * @return how many are known and how many of them serve
@@ -165,7 +166,8 @@
 		List<Peer> near = known.stream().filter((peer) -> peer.status.failureDomain().equals(failureDomain)).toList();
 		List<Peer> reachable = near.isEmpty() ? known : near;
 		long serving = reachable.stream().filter((peer) -> serves(peer, nowMs)).count();
-		return new Others(reachable.size(), (int) serving);
+		double heard = Math.min(1, MOST_HEARD / Math.max(1, this.byAddress.size()));
+		return new Others((int) Math.round(reachable.size() * heard), (int) serving);
 	}
 
 	private static boolean serves(Peer peer, long nowMs) {
--- a/whinjunction-router/src/main/java/io/whinjunction/router/RecentDurations.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/RecentDurations.java
@@ -17,9 +17,6 @@
 	 */
 	static final int KEPT = 128;
 
-	/** With fewer than this nothing is said: one slow answer would be a tenth of them. */
-	private static final int LEAST = 20;
-
 	private final long[] tookMs = new long[KEPT];
 
 	private int count;
@@ -34,11 +31,13 @@
 	}
 
 	/**
-	 * Whether enough was seen to tell anything.
-	 * @return whether {@link #partOver} means something
+	 * Whether enough was seen to tell a part: of one in a hundred, twenty requests say
+	 * nothing.
+	 * @param part the part, above 0
+	 * @return whether {@link #partOver} can be compared with it
 	 */
-	boolean known() {
-		return this.count >= LEAST;
+	boolean canTell(double part) {
+		return this.count * part >= 1;
 	}
 
 	/**
--- a/whinjunction-router/src/main/java/io/whinjunction/router/Router.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/Router.java
@@ -30,6 +30,7 @@
 import io.whinjunction.proof.ConfigurationProof;
 import io.whinjunction.routing.CallerLimits;
 import io.whinjunction.routing.Route;
+import io.whinjunction.routing.RoutedService;
 import io.whinjunction.routing.RoutingConfiguration;
 import io.whinjunction.time.BootClock;
 import io.whinjunction.time.Closer;
@@ -118,8 +119,7 @@
 	/** {@code null} until the process is told to stop. */
 	private StopSchedule stop;
 
-	/** When this process was last seen running, on the clock that counts suspensions. */
-	private long seenRunningMs;
+	private final RunningTimes runningTimes;
 
 	/**
 	 * A router.
@@ -137,6 +137,7 @@
 		this.dialect = ports.dialect();
 		this.metrics = ports.metrics();
 		this.boot = boot;
+		this.runningTimes = new RunningTimes(boot.nowMs());
 		this.proof = new ConfigurationProof(settings.bounds().keysMs() - KEY_MARGIN_MS,
 				settings.bounds().configurationMs());
 		this.peers = new PeerTable(text(settings.peers()), RandomGenerator.getDefault());
@@ -162,7 +163,6 @@
 	 * constructor, so that one thread at a time loads classes.
 	 */
 	public void start() {
-		this.seenRunningMs = bootMs();
 		this.configurationKeeper.start();
 		this.directoryKeeper.start();
 		this.leadership.start();
@@ -306,7 +306,7 @@
 				return;
 			}
 			long handledMs = bootMs() - (nowMs() - signalledMs);
-			this.stop = StopSchedule.dated(handledMs, this.seenRunningMs, this.settings.bounds().graceMs());
+			this.stop = new StopSchedule(this.runningTimes.earliestOf(handledMs), this.settings.bounds().graceMs());
 			logger.atInfo()
 				.log("event=stopping callers=%d handled-late-ms=%d others=%d", this.callers.size(), stopAgeMs(),
 						this.peers.others(this.settings.failureDomain(), nowMs()).serving());
@@ -326,7 +326,7 @@
 	}
 
 	private void sweep() {
-		this.seenRunningMs = bootMs();
+		this.runningTimes.note(bootMs());
 		this.pool.sweep();
 		long idleMs = (configuration() != null) ? configuration().limits().idleTimeoutMs()
 				: CallerLimits.DEFAULT.idleTimeoutMs();
@@ -432,22 +432,23 @@
 	}
 
 	@Override
-	public Optional<StopAdmission.Judgement> judgeInStop(Route route, String service) {
+	public Optional<StopAdmission.Judgement> judgeInStop(Route route, RoutedService service) {
 		return Optional.ofNullable(this.stop)
-			.map((schedule) -> this.stopAdmission.judge(schedule, bootMs(), service, route.repeatable(),
-					inProgressMs(service), this.peers.others(this.settings.failureDomain(), nowMs())));
+			.map((schedule) -> this.stopAdmission.judge(schedule, bootMs(), StopAdmission.Family.of(route, service),
+					route.repeatable(), inProgressMs(route, service),
+					this.peers.others(this.settings.failureDomain(), nowMs())));
 	}
 
-	private long[] inProgressMs(String service) {
+	private long[] inProgressMs(Route route, RoutedService service) {
 		return this.callers.stream()
-			.mapToLong((caller) -> caller.inProgressMs(service))
+			.mapToLong((caller) -> caller.inProgressMs(StopAdmission.Family.of(route, service)))
 			.filter((ms) -> ms >= 0)
 			.toArray();
 	}
 
 	@Override
-	public void answered(String service, long tookMs) {
-		this.stopAdmission.answered(service, tookMs);
+	public void answered(Route route, RoutedService service, long tookMs) {
+		this.stopAdmission.answered(StopAdmission.Family.of(route, service), tookMs);
 	}
 
 	/**
--- a/whinjunction-router/src/main/java/io/whinjunction/router/RouterContext.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/RouterContext.java
@@ -7,6 +7,7 @@
 import io.whinjunction.forward.FleetRetryBudget;
 import io.whinjunction.proof.ConfigurationProof;
 import io.whinjunction.routing.Route;
+import io.whinjunction.routing.RoutedService;
 import io.whinjunction.routing.RoutingConfiguration;
 
 /**
@@ -111,14 +112,15 @@
 	 * @param service its service
 	 * @return the judgement, or empty where this process goes on
 	 */
-	Optional<StopAdmission.Judgement> judgeInStop(Route route, String service);
+	Optional<StopAdmission.Judgement> judgeInStop(Route route, RoutedService service);
 
 	/**
 	 * A request was answered as a whole.
+	 * @param route its route
 	 * @param service its service
 	 * @param tookMs how long it took, in milliseconds
 	 */
-	void answered(String service, long tookMs);
+	void answered(Route route, RoutedService service, long tookMs);
 
 	/**
 	 * Notices engines that don't answer.
--- /dev/null
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/RunningTimes.java
@@ -0,0 +1,59 @@
+package io.whinjunction.router;
+
+/**
+ * When this process ran, as it noted itself, to date a signal that it got late.
+ * <p>
+ * The failure it is there for: a signal that comes while the process is suspended or gets
+ * no processor is handled seconds later, while the platform's grace goes on. Counted from
+ * there, requests are served until the platform kills the process with all of them.
+ * Nobody knows when the signal came, so it is dated to the last moment at which the
+ * process is known to have run before. On waking, the overdue note may come before the
+ * signal is handled; so the last gap is remembered for a while.
+ * <p>
+ * All times are of the clock that counts suspensions. Confined to the event loop.
+ */
+final class RunningTimes {
+
+	/**
+	 * The longest pause between two notes of a process that runs, in milliseconds: two
+	 * pauses between its looks at idle connections.
+	 */
+	static final long LONGEST_PAUSE_MS = 1000;
+
+	private long notedMs;
+
+	private long gapFromMs;
+
+	private long gapUntilMs = Long.MIN_VALUE / 2;
+
+	/**
+	 * The process was started.
+	 * @param nowMs the time
+	 */
+	RunningTimes(long nowMs) {
+		this.notedMs = nowMs;
+	}
+
+	/**
+	 * The process runs.
+	 * @param nowMs the time
+	 */
+	void note(long nowMs) {
+		if (nowMs - this.notedMs > LONGEST_PAUSE_MS) {
+			this.gapFromMs = this.notedMs;
+			this.gapUntilMs = nowMs;
+		}
+		this.notedMs = nowMs;
+	}
+
+	/**
+	 * The earliest moment at which a signal may have come.
+	 * @param handledMs when it was handled
+	 * @return the last moment before a gap that ended just then, else when it was handled
+	 */
+	long earliestOf(long handledMs) {
+		note(handledMs);
+		return (handledMs - this.gapUntilMs <= LONGEST_PAUSE_MS) ? this.gapFromMs : handledMs;
+	}
+
+}
--- a/whinjunction-router/src/main/java/io/whinjunction/router/StopAdmission.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/StopAdmission.java
@@ -3,6 +3,10 @@
 import java.util.HashMap;
 import java.util.Map;
 
+import io.whinjunction.routing.RequestKind;
+import io.whinjunction.routing.Route;
+import io.whinjunction.routing.RoutedService;
+
 /**
  * Decides whether a process that was told to stop still begins an attempt.
  * <p>
@@ -30,40 +34,63 @@
 	/** The most of what must not be repeated: its caller would never know what ran. */
 	private static final double MOST_CUT_FOR_GOOD = 0.01;
 
-	private final Map<String, RecentDurations> byService = new HashMap<>();
+	/**
+	 * With less than this left nothing begins, however short it usually is, in
+	 * milliseconds: of uploads that usually took 89 ms, one in a hundred took 344 ms on a
+	 * day with every router stopped in turn.
+	 */
+	private static final long LEAST_LEFT_MS = 1000;
+
+	private final Map<Family, RecentDurations> byFamily = new HashMap<>();
 
 	/**
 	 * A request was answered as a whole.
-	 * @param service its service
+	 * @param family the requests that it belongs to
 	 * @param tookMs how long it took, in milliseconds
 	 */
-	void answered(String service, long tookMs) {
-		this.byService.computeIfAbsent(service, (ignored) -> new RecentDurations()).add(tookMs);
+	void answered(Family family, long tookMs) {
+		this.byFamily.computeIfAbsent(family, (ignored) -> new RecentDurations()).add(tookMs);
 	}
 
 	/**
 	 * Judges an attempt that would begin now.
 	 * @param schedule the stop
 	 * @param nowMs the time, on the stop's clock
-	 * @param service the service of the request
+	 * @param family the requests that it belongs to
 	 * @param repeatable whether it may be repeated by its caller
-	 * @param inProgressMs how long the service's requests in progress have taken so far,
+	 * @param inProgressMs how long the family's requests in progress have taken so far,
 	 * in milliseconds
 	 * @param others the other processes
 	 * @return the judgement
 	 */
-	Judgement judge(StopSchedule schedule, long nowMs, String service, boolean repeatable, long[] inProgressMs,
+	Judgement judge(StopSchedule schedule, long nowMs, Family family, boolean repeatable, long[] inProgressMs,
 			PeerTable.Others others) {
 		long leftMs = schedule.leftMs(nowMs);
-		RecentDurations durations = this.byService.get(service);
-		boolean known = durations != null && durations.known();
+		double mostCut = repeatable ? MOST_CUT : MOST_CUT_FOR_GOOD;
+		RecentDurations durations = this.byFamily.get(family);
+		boolean known = durations != null && durations.canTell(mostCut);
 		double outliving = known ? durations.partOver(leftMs, inProgressMs) : -1;
 		boolean inTime = schedule.servesRequests(nowMs);
-		boolean ends = known ? outliving <= (repeatable ? MOST_CUT : MOST_CUT_FOR_GOOD) : inTime;
+		boolean ends = known ? outliving <= mostCut && leftMs >= LEAST_LEFT_MS : inTime;
 		boolean begins = ends || (inTime && !others.suffice());
 		return new Judgement(begins, schedule.ageMs(nowMs), leftMs, outliving, others);
 	}
 
+	/**
+	 * Requests that take about as long: an action's duration must not be taken for that
+	 * of the status checks which the same service answers. Immutable.
+	 *
+	 * @param service the service's name
+	 * @param kind the kind of the route
+	 */
+	record Family(String service, RequestKind kind) {
+
+		static Family of(Route route, RoutedService service) {
+			return new Family(service.name(), route.kind());
+		}
+
+	}
+
 	/**
 	 * Whether an attempt begins, and what decided. Immutable.
 	 *
--- a/whinjunction-router/src/main/java/io/whinjunction/router/StopSchedule.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/StopSchedule.java
@@ -35,29 +35,6 @@
 	/** What is left of the grace for the process itself to end, in milliseconds. */
 	private static final long MARGIN_MS = 500;
 
-	/**
-	 * A running process notes the time at least this often, in milliseconds: two pauses
-	 * between its looks at idle connections.
-	 */
-	private static final long LONGEST_UNSEEN_MS = 1000;
-
-	/**
-	 * The schedule of a stop whose signal was handled late, by as much as is known.
-	 * <p>
-	 * The failure it is there for: a signal that comes while the process is suspended or
-	 * gets no processor is seen seconds later. Counted from there, requests are served
-	 * until the platform kills the process with all of them. Nobody knows when the signal
-	 * came, so it is dated to the last moment at which the process was seen running.
-	 * @param handledMs when it was handled
-	 * @param seenRunningMs when the process was last seen running
-	 * @param graceMs how long the process may take, in milliseconds
-	 * @return the schedule
-	 */
-	static StopSchedule dated(long handledMs, long seenRunningMs, long graceMs) {
-		boolean unseen = handledMs - seenRunningMs > LONGEST_UNSEEN_MS;
-		return new StopSchedule(unseen ? seenRunningMs : handledMs, graceMs);
-	}
-
 	/**
 	 * How long ago the signal came.
 	 * @param nowMs the time
--- a/whinjunction-router/src/test/java/io/whinjunction/router/PeerTableTests.java
+++ b/whinjunction-router/src/test/java/io/whinjunction/router/PeerTableTests.java
@@ -109,6 +109,42 @@
 		assertThat(this.table.tokenLayersAt("e1", 1_000)).isBetween(8_600L, 8_800L);
 	}
 
+	// A stopping router refuses drafts, and their callers reach nobody: of the two others
+	// one is gone and the balancer sends to it all the same.
+	@Test
+	void oneOfTwoOthersDoesNotSufficeForCallersThatAreRefused() {
+		this.table.heard(inDomain("10.0.0.2:1", "a", false), 0);
+		this.table.heard(inDomain("10.0.0.3:1", "a", true), 0);
+		this.table.heard(inDomain("10.0.0.4:1", "b", false), 0);
+
+		assertThat(this.table.others("a", 100)).isEqualTo(new PeerTable.Others(2, 1));
+		assertThat(this.table.others("a", 100).suffice()).isFalse();
+	}
+
+	@Test
+	void theOnlyRouterOfAFailureDomainCountsOnThoseOfOtherOnes() {
+		this.table.heard(inDomain("10.0.0.4:1", "b", false), 0);
+
+		assertThat(this.table.others("a", 100).suffice()).isTrue();
+		assertThat(this.table.others("a", PeerTable.SILENT_MS).suffice()).isFalse();
+	}
+
+	// Of 99 others, 36 are heard in time. The rest is silent since nobody asked it, and
+	// not since it is gone.
+	@Test
+	void routersThatCanNotBeHeardInTimeAreNotTakenForGone() {
+		for (int index = 2; index < 101; index++) {
+			this.table.heard(inDomain("10.0.0." + index + ":1", "a", false), (index < 38) ? 2_000 : 0);
+		}
+
+		assertThat(this.table.others("a", 2_000).suffice()).isTrue();
+	}
+
+	private static PeerStatus inDomain(String address, String failureDomain, boolean leaving) {
+		return new PeerStatus("n", address, failureDomain, 1, false, 4, 0, List.of(), Map.of(), List.of(), leaving,
+				Map.of(), false, -1);
+	}
+
 	private static PeerStatus status(String address, long sequence, boolean answer, long proofAgeMs) {
 		return new PeerStatus("n", address, "a", sequence, answer, 4, proofAgeMs, List.of("10.1.1.1:80"),
 				Map.of("e1", 100L), List.of("10.0.0.9:1"), false, Map.of("e1", 3.0), true, -1);
--- /dev/null
+++ b/whinjunction-router/src/test/java/io/whinjunction/router/RecentDurationsTests.java
@@ -0,0 +1,81 @@
+package io.whinjunction.router;
+
+import java.util.Arrays;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.within;
+
+/**
+ * How much of a service's requests takes longer than a limit.
+ */
+class RecentDurationsTests {
+
+	@Test
+	void withoutRequestsInProgressItIsTheirPlainPart() {
+		RecentDurations durations = withDurations(100, 100);
+
+		assertThat(durations.partOver(7_000, new long[0])).isCloseTo(0.3, within(0.001));
+	}
+
+	@Test
+	void tooFewRequestsTellNothing() {
+		assertThat(withDurations(100, 19).canTell(0.05)).isFalse();
+		assertThat(withDurations(100, 20).canTell(0.05)).isTrue();
+		assertThat(withDurations(100, 99).canTell(0.01)).isFalse();
+		assertThat(withDurations(100, 100).canTell(0.01)).isTrue();
+	}
+
+	// Drafts are begun by a process that stops soon after its start, and cut: only short
+	// ones had ended, so that nothing seemed to take longer than four seconds. Forty that
+	// go on since four seconds say otherwise.
+	@Test
+	void aProcessThatServedForAShortTimeKnowsOfLongRequestsByThoseInProgress() {
+		RecentDurations durations = withDurations(100, 40);
+		long[] inProgressMs = new long[40];
+		Arrays.fill(inProgressMs, 4_000);
+
+		assertThat(durations.partOver(5_000, new long[0])).isZero();
+		assertThat(durations.partOver(5_000, inProgressMs)).isCloseTo(0.5, within(0.01));
+	}
+
+	@Test
+	void onlyTheNewestCount() {
+		RecentDurations durations = withDurations(10, RecentDurations.KEPT);
+		for (int index = 0; index < RecentDurations.KEPT; index++) {
+			durations.add(9_000);
+		}
+
+		assertThat(durations.partOver(8_000, new long[0])).isEqualTo(1);
+	}
+
+	@Property
+	void aLongerLimitIsNeverOutlivedByMore(@ForAll @Size(max = 200) int @IntRange(max = 20_000) [] ended,
+			@ForAll @Size(max = 50) int @IntRange(max = 20_000) [] inProgress,
+			@ForAll @IntRange(max = 20_000) int limitMs, @ForAll @IntRange(max = 20_000) int moreMs) {
+		RecentDurations durations = new RecentDurations();
+		for (int tookMs : ended) {
+			durations.add(tookMs);
+		}
+		long[] soFarMs = Arrays.stream(inProgress).asLongStream().toArray();
+
+		double over = durations.partOver(limitMs, soFarMs);
+
+		assertThat(over).isBetween(0.0, 1.0);
+		assertThat(durations.partOver((long) limitMs + moreMs, soFarMs)).isLessThanOrEqualTo(over);
+	}
+
+	private static RecentDurations withDurations(long stepMs, int count) {
+		RecentDurations durations = new RecentDurations();
+		for (int index = 1; index <= count; index++) {
+			durations.add(index * stepMs);
+		}
+		return durations;
+	}
+
+}
--- /dev/null
+++ b/whinjunction-router/src/test/java/io/whinjunction/router/RunningTimesTests.java
@@ -0,0 +1,54 @@
+package io.whinjunction.router;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * To when a signal is dated that the process may have got late.
+ */
+class RunningTimesTests {
+
+	private final RunningTimes times = new RunningTimes(0);
+
+	@Test
+	void aSignalThatIsHandledByAProcessThatRunsIsDatedToThatMoment() {
+		run(0, 10_000);
+
+		assertThat(this.times.earliestOf(10_300)).isEqualTo(10_300);
+	}
+
+	// A machine is suspended for 5 s, and the signal comes meanwhile. Dated to the moment
+	// of waking, requests were served until the platform killed the process with them.
+	@Test
+	void aSignalThatCameWhileTheProcessDidNotRunIsDatedToWhenItLastRan() {
+		run(0, 10_000);
+
+		assertThat(this.times.earliestOf(15_000)).isEqualTo(10_000);
+	}
+
+	// The same, but on waking the overdue note comes first, and the signal a few
+	// milliseconds behind it: the gap is still the one in which the signal came.
+	@Test
+	void aNoteThatComesJustBeforeTheSignalDoesNotHideTheGap() {
+		run(0, 10_000);
+		this.times.note(15_000);
+
+		assertThat(this.times.earliestOf(15_040)).isEqualTo(10_000);
+	}
+
+	@Test
+	void aGapOfLongAgoSaysNothingOfASignal() {
+		run(0, 10_000);
+		run(15_000, 20_000);
+
+		assertThat(this.times.earliestOf(20_400)).isEqualTo(20_400);
+	}
+
+	private void run(long fromMs, long untilMs) {
+		for (long nowMs = fromMs; nowMs <= untilMs; nowMs += 500) {
+			this.times.note(nowMs);
+		}
+	}
+
+}
--- /dev/null
+++ b/whinjunction-router/src/test/java/io/whinjunction/router/StopAdmissionTests.java
@@ -0,0 +1,105 @@
+package io.whinjunction.router;
+
+import io.whinjunction.routing.RequestKind;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Which attempts a process that was told to stop still begins.
+ */
+class StopAdmissionTests {
+
+	private static final StopAdmission.Family DRAFTS = new StopAdmission.Family("llm", RequestKind.STREAMING);
+
+	private static final PeerTable.Others ENOUGH = new PeerTable.Others(2, 2);
+
+	private static final PeerTable.Others TOO_FEW = new PeerTable.Others(2, 1);
+
+	private static final long[] NONE = {};
+
+	private final StopAdmission admission = new StopAdmission();
+
+	private final StopSchedule schedule = new StopSchedule(0, 8_000);
+
+	// Half of the drafts take 2 s, one in ten takes 6 s. At 2 s 5.5 s are left, and one
+	// in ten would be cut in the middle.
+	@Test
+	void anAttemptBeginsOnlyWhereAlmostAllEndInTime() {
+		serve(9, 2_000, 1, 6_000);
+
+		assertThat(begins(1_000, true, ENOUGH)).isTrue();
+		assertThat(begins(2_000, true, ENOUGH)).isFalse();
+	}
+
+	@Test
+	void whatMustNotBeRepeatedBeginsOnlyWhereItSurelyEnds() {
+		serve(32, 2_000, 1, 6_000);
+
+		assertThat(begins(2_000, true, ENOUGH)).isTrue();
+		assertThat(begins(2_000, false, ENOUGH)).isFalse();
+	}
+
+	// All routers of a failure domain stop one after the other. Refused here, a caller is
+	// sent to another one that stops, and its one more try is spent.
+	@Test
+	void whereTheOthersDoNotSufficeItBeginsAsLongAsRequestsAreServed() {
+		serve(9, 2_000, 1, 6_000);
+
+		assertThat(begins(2_000, true, TOO_FEW)).isTrue();
+		assertThat(begins(3_000, true, TOO_FEW)).isFalse();
+	}
+
+	@Test
+	void withoutKnownDurationsItBeginsAsLongAsRequestsAreServed() {
+		assertThat(begins(2_700, true, ENOUGH)).isTrue();
+		assertThat(begins(2_800, true, ENOUGH)).isFalse();
+	}
+
+	// A status check whose upstream turned it away is tried again elsewhere: it takes 20
+	// ms, and 4 s are left.
+	@Test
+	void whatIsShortBeginsLateAsWell() {
+		serve(9, 20, 1, 60);
+
+		assertThat(begins(3_500, true, ENOUGH)).isTrue();
+		assertThat(begins(6_600, true, ENOUGH)).isFalse();
+	}
+
+	// A bookings' service answers many status checks in 20 ms and few bookings, which
+	// take
+	// 6 s. A booking that is begun at 2 s is cut, and nobody knows whether it was made.
+	@Test
+	void anActionIsNotJudgedByTheStatusChecksOfItsService() {
+		StopAdmission.Family checks = new StopAdmission.Family("llm", RequestKind.IDEMPOTENT);
+		StopAdmission.Family bookings = new StopAdmission.Family("llm", RequestKind.NON_IDEMPOTENT);
+		for (int request = 0; request < RecentDurations.KEPT; request++) {
+			this.admission.answered((request % 4 > 0) ? checks : bookings, (request % 4 > 0) ? 20 : 6_000);
+		}
+
+		assertThat(this.admission.judge(this.schedule, 2_000, bookings, false, NONE, ENOUGH).begins()).isFalse();
+		assertThat(this.admission.judge(this.schedule, 2_000, checks, true, NONE, ENOUGH).begins()).isTrue();
+	}
+
+	// Twenty bookings that took 20 ms don't tell whether one in a hundred takes longer.
+	@Test
+	void fewShortActionsDoNotLetALateOneBegin() {
+		for (int request = 0; request < 20; request++) {
+			this.admission.answered(DRAFTS, 20);
+		}
+
+		assertThat(begins(3_500, false, ENOUGH)).isFalse();
+		assertThat(begins(3_500, true, ENOUGH)).isTrue();
+	}
+
+	private void serve(int most, long mostMs, int some, long someMs) {
+		for (int request = 0; request < RecentDurations.KEPT; request++) {
+			this.admission.answered(DRAFTS, (request % (most + some) < most) ? mostMs : someMs);
+		}
+	}
+
+	private boolean begins(long nowMs, boolean repeatable, PeerTable.Others others) {
+		return this.admission.judge(this.schedule, nowMs, DRAFTS, repeatable, NONE, others).begins();
+	}
+
+}
