Few actions that were slow speak against a late one; few that were quick don't speak for it

Now what was seen counts against an attempt from twenty requests on, and for one behind the time for new requests only where it can tell the part.

--- a/whinjunction-router/src/main/java/io/whinjunction/router/StopAdmission.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/StopAdmission.java
@@ -68,10 +68,13 @@
 		long leftMs = schedule.leftMs(nowMs);
 		double mostCut = repeatable ? MOST_CUT : MOST_CUT_FOR_GOOD;
 		RecentDurations durations = this.byFamily.get(family);
-		boolean known = durations != null && durations.canTell(mostCut);
+		boolean known = durations != null && durations.canTell(MOST_CUT);
 		double outliving = known ? durations.partOver(leftMs, inProgressMs) : -1;
 		boolean inTime = schedule.servesRequests(nowMs);
-		boolean ends = known ? outliving <= mostCut && leftMs >= LEAST_LEFT_MS : inTime;
+		// What was seen may speak against an attempt, and be too little to speak for a
+		// late one.
+		boolean lateEnds = known && durations.canTell(mostCut) && leftMs >= LEAST_LEFT_MS;
+		boolean ends = outliving <= mostCut && (inTime || lateEnds);
 		boolean begins = ends || (inTime && !others.suffice());
 		return new Judgement(begins, schedule.ageMs(nowMs), leftMs, outliving, others);
 	}
