--- a/whinjunction-router/src/test/java/io/whinjunction/router/StopAdmissionTests.java
+++ b/whinjunction-router/src/test/java/io/whinjunction/router/StopAdmissionTests.java
@@ -67,8 +67,8 @@
 	}
 
 	// A bookings' service answers many status checks in 20 ms and few bookings, which
-	// take
-	// 6 s. A booking that is begun at 2 s is cut, and nobody knows whether it was made.
+	// take 6 s. A booking that is begun at 2 s is cut, and nobody knows whether it was
+	// made.
 	@Test
 	void anActionIsNotJudgedByTheStatusChecksOfItsService() {
 		StopAdmission.Family checks = new StopAdmission.Family("llm", RequestKind.IDEMPOTENT);
