A stop judges each attempt by its like, before anything is given up for it

Cause: answers that fail at once counted as short drafts; where nothing was known, a read that broke late was failed though its route ends reads in time or nobody else serves; a stalled attempt was given up, and a shared repeat taken, before the next one was judged; a connection that came late wasn't judged again; one exception would have kept the process from ending; requests read behind another one got no answer.

Change: only whole successes count; what its route ends in time always begins, and what may be repeated is tried again late where the others don't suffice; moveElsewhere and onAttemptEnd judge first, Attempt.connected judges again; StopSequence tells each caller for itself and counts cut= and told= apart; the connection closes behind the last request that waits on it, and a process waits for answers that are still being written.

--- a/whinjunction-router/src/main/java/io/whinjunction/router/Attempt.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/Attempt.java
@@ -108,6 +108,12 @@
 			notSent("unproved-keys");
 			return;
 		}
+		// Connecting may take a while, and the process may have been suspended meanwhile.
+		if (this.session.outlivesRouter()) {
+			connected.channel().close();
+			notSent("stopping");
+			return;
+		}
 		this.connection = connected;
 		send();
 	}
--- a/whinjunction-router/src/main/java/io/whinjunction/router/CallerConnection.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/CallerConnection.java
@@ -277,11 +277,12 @@
 		}
 	}
 
-	/** This process ends: the caller gets an answer, or the visible end of one. */
-	void routerEnds() {
-		if (this.session != null) {
-			this.session.onRouterEnds();
-		}
+	/**
+	 * This process ends: the caller gets an answer, or the visible end of one.
+	 * @return whether an answer was cut
+	 */
+	boolean routerEnds() {
+		return this.session != null && this.session.onRouterEnds();
 	}
 
 	/**
@@ -290,13 +291,17 @@
 	 * @return milliseconds; -1 where there is none of them
 	 */
 	long inProgressMs(StopAdmission.Family family) {
-		boolean one = this.session != null && this.session.service() != null
-				&& StopAdmission.Family.of(this.session.route(), this.session.service()).equals(family);
+		boolean one = this.session != null && this.session.service() != null && this.session.family().equals(family);
 		return one ? this.router.nowMs() - this.session.startedMs() : -1;
 	}
 
+	/**
+	 * Whether the caller still waits for an answer, or for the rest of one that it takes
+	 * slowly.
+	 * @return whether this process can't end yet
+	 */
 	boolean busy() {
-		return !this.answered;
+		return !this.answered || (this.closing && this.channel.isActive());
 	}
 
 	private void finish(Object message, HttpHeaders headers) {
@@ -305,7 +310,7 @@
 			sayWhetherKept(headers);
 		}
 		this.quietSinceMs = this.router.nowMs();
-		boolean close = this.closing || !this.keepAlive || this.router.stopping();
+		boolean close = this.closing || !this.keepAlive || lastOfStop();
 		if (close) {
 			this.closing = true;
 			this.answered = true;
@@ -318,11 +323,18 @@
 	}
 
 	private void sayWhetherKept(HttpHeaders headers) {
-		if (!this.keepAlive || this.closing || this.router.stopping()) {
+		if (!this.keepAlive || this.closing || lastOfStop()) {
 			headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+			this.keepAlive = false;
 		}
 	}
 
+	// A request that was read behind the current one gets its answer before the
+	// connection ends.
+	private boolean lastOfStop() {
+		return this.router.stopping() && this.waiting.isEmpty();
+	}
+
 	private void next() {
 		while (this.answered && !this.bodyOpen && !this.closing && !this.waiting.isEmpty()) {
 			process(this.waiting.poll());
--- a/whinjunction-router/src/main/java/io/whinjunction/router/ForwardSession.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/ForwardSession.java
@@ -9,6 +9,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.util.concurrent.ScheduledFuture;
 import io.whinjunction.chain.Hop;
 import io.whinjunction.forward.AttemptEnd;
@@ -154,7 +155,7 @@
 		}
 		if (!this.passingThrough) {
 			this.passingThrough = true;
-			tryNext();
+			tryFirst();
 		}
 		if (this.attempt != null) {
 			this.attempt.sendBody(content.retain());
@@ -168,7 +169,7 @@
 			return;
 		}
 		if (!this.passingThrough) {
-			tryNext();
+			tryFirst();
 		}
 		else if (this.attempt != null) {
 			this.attempt.sendBodyEnd();
@@ -221,21 +222,28 @@
 		this.caller.abort();
 	}
 
-	/** This process ends before the answer does. */
-	void onRouterEnds() {
+	/**
+	 * This process ends before the answer does.
+	 * @return whether an answer was cut that had begun
+	 */
+	boolean onRouterEnds() {
 		if (this.done) {
-			return;
+			return false;
 		}
 		boolean ran = this.mayHaveRun || (this.attempt != null && this.attempt.sent());
 		giveUp(ran ? new NextStep.Fail() : new NextStep.Refuse(), STOPPING);
+		return this.answerBegun;
 	}
 
-	private void tryNext() {
-		// What has begun to reach its caller goes on here as long as it can.
-		if (!this.answerBegun && outlivesRouter()) {
-			giveUp(this.mayHaveRun ? new NextStep.Fail() : new NextStep.Refuse(), STOPPING);
+	private void tryFirst() {
+		if (outlivesRouter()) {
+			giveUp(new NextStep.Refuse(), STOPPING);
 			return;
 		}
+		tryNext();
+	}
+
+	private void tryNext() {
 		Optional<Target> target = chooseTarget();
 		if (target.isEmpty()) {
 			giveUp(this.mayHaveRun ? new NextStep.Fail() : new NextStep.Refuse(), "no-upstream");
@@ -246,12 +254,32 @@
 		this.attempt.start();
 	}
 
-	private boolean outlivesRouter() {
-		Optional<StopAdmission.Judgement> judgement = this.router.judgeInStop(this.route, this.service);
+	/**
+	 * Whether an attempt that begins now is likely to be cut by the end of this process.
+	 * What has begun to reach its caller goes on here as long as it can.
+	 * @return {@code false} where this process goes on
+	 */
+	boolean outlivesRouter() {
+		if (this.answerBegun || !this.router.stopping()) {
+			return false;
+		}
+		boolean again = this.sent + this.notSent > 0;
+		Optional<StopAdmission.Judgement> judgement = this.router
+			.judgeInStop(new StopAdmission.Candidate(family(), this.route.repeatable(), again, longestMs()));
 		judgement.ifPresent((judged) -> RequestLog.judgedInStop(this, judged));
 		return judgement.isPresent() && !judgement.get().begins();
 	}
 
+	// An answer in events goes on beyond its route's limit.
+	private long longestMs() {
+		long limitMs = this.route.limits().timeoutMs() - (this.router.nowMs() - this.startedMs);
+		return (this.route.kind() == RequestKind.STREAMING) ? Long.MAX_VALUE : Math.min(limitMs, leftMs());
+	}
+
+	StopAdmission.Family family() {
+		return StopAdmission.Family.of(this.route, this.service);
+	}
+
 	private Optional<Target> chooseTarget() {
 		boolean again = RetryPolicy.onlyTriedOnes(this.route, this.sentTo.size());
 		TargetChooser.Wish wish = new TargetChooser.Wish(this.service, expectedTokens(), this.tried,
@@ -273,8 +301,13 @@
 			return;
 		}
 		RetryPolicy.History history = new RetryPolicy.History(this.sent, this.notSent, this.mayHaveRun);
-		NextStep next = RetryPolicy.next(this.route, end, history, leftMs(), this::repeatGranted);
 		this.mayHaveRun |= end instanceof AttemptEnd.Unknown || end instanceof AttemptEnd.Failed;
+		// Before a repeat is taken from what all routers share.
+		if (outlivesRouter()) {
+			giveUp(this.mayHaveRun ? new NextStep.Fail() : new NextStep.Refuse(), STOPPING);
+			return;
+		}
+		NextStep next = RetryPolicy.next(this.route, end, history, leftMs(), this::repeatGranted);
 		// What was passed on of an answer without events can't be taken back.
 		boolean replayable = !this.passingThrough && (!this.answerBegun || this.route.kind() == RequestKind.STREAMING);
 		if (next instanceof NextStep.TryAgain && replayable) {
@@ -302,6 +335,9 @@
 	 * @return whether it was
 	 */
 	boolean moveElsewhere(String faultyAddress) {
+		if (outlivesRouter()) {
+			return false;
+		}
 		AttemptEnd end = new AttemptEnd.Unknown("stalled");
 		RetryPolicy.History history = new RetryPolicy.History(this.sent, this.notSent, true);
 		NextStep next = RetryPolicy.next(this.route, end, history, leftMs(), this::repeatGranted);
@@ -383,6 +419,9 @@
 	 */
 	void onAnswer(Answer answer) {
 		this.attempt = null;
+		if (answer.status().codeClass() == HttpStatusClass.SUCCESS) {
+			answeredWhole();
+		}
 		finish("answered", Integer.toString(answer.status().code()), answer);
 	}
 
@@ -428,6 +467,7 @@
 	 */
 	void onStreamEnd(Answer head) {
 		this.attempt = null;
+		answeredWhole();
 		if (!this.answerBegun) {
 			finish("answered", "empty", head);
 			return;
@@ -436,6 +476,10 @@
 		this.caller.endAnswer();
 	}
 
+	private void answeredWhole() {
+		this.router.answered(family(), this.router.nowMs() - this.startedMs);
+	}
+
 	private void finish(String outcome, String reason, Answer answer) {
 		end(outcome, reason);
 		this.router.dialect().nameRequest(answer.headers(), this.request);
@@ -451,9 +495,6 @@
 			this.attempt.abandon();
 			this.attempt = null;
 		}
-		if (this.service != null && outcome.equals("answered")) {
-			this.router.answered(this.route, this.service, this.router.nowMs() - this.startedMs);
-		}
 		RequestLog.ended(this, outcome, reason);
 	}
 
--- a/whinjunction-router/src/main/java/io/whinjunction/router/RecentDurations.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/RecentDurations.java
@@ -46,7 +46,8 @@
 	 * Requests in progress count with the time that they have taken so far (the product
 	 * limit of survival analysis). Without them a process that has served for four
 	 * seconds would find that nothing ever takes five: only its short requests have
-	 * ended. Beyond the longest that was seen, nothing is taken for over.
+	 * ended. What is said beyond the longest that ended is the part that was not seen to
+	 * end.
 	 * @param limitMs the limit, in milliseconds
 	 * @param inProgressMs how long requests in progress have taken so far, in
 	 * milliseconds
--- a/whinjunction-router/src/main/java/io/whinjunction/router/Router.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/Router.java
@@ -29,8 +29,6 @@
 import io.whinjunction.http.server.StrictRequestDecoder;
 import io.whinjunction.proof.ConfigurationProof;
 import io.whinjunction.routing.CallerLimits;
-import io.whinjunction.routing.Route;
-import io.whinjunction.routing.RoutedService;
 import io.whinjunction.routing.RoutingConfiguration;
 import io.whinjunction.time.BootClock;
 import io.whinjunction.time.Closer;
@@ -432,23 +430,22 @@
 	}
 
 	@Override
-	public Optional<StopAdmission.Judgement> judgeInStop(Route route, RoutedService service) {
+	public Optional<StopAdmission.Judgement> judgeInStop(StopAdmission.Candidate candidate) {
 		return Optional.ofNullable(this.stop)
-			.map((schedule) -> this.stopAdmission.judge(schedule, bootMs(), StopAdmission.Family.of(route, service),
-					route.repeatable(), inProgressMs(route, service),
+			.map((schedule) -> this.stopAdmission.judge(schedule, bootMs(), candidate, inProgressMs(candidate.family()),
 					this.peers.others(this.settings.failureDomain(), nowMs())));
 	}
 
-	private long[] inProgressMs(Route route, RoutedService service) {
+	private long[] inProgressMs(StopAdmission.Family family) {
 		return this.callers.stream()
-			.mapToLong((caller) -> caller.inProgressMs(StopAdmission.Family.of(route, service)))
-			.filter((ms) -> ms >= 0)
+			.mapToLong((caller) -> caller.inProgressMs(family))
+			.filter((soFarMs) -> soFarMs >= 0)
 			.toArray();
 	}
 
 	@Override
-	public void answered(Route route, RoutedService service, long tookMs) {
-		this.stopAdmission.answered(StopAdmission.Family.of(route, service), tookMs);
+	public void answered(StopAdmission.Family family, long tookMs) {
+		this.stopAdmission.answered(family, tookMs);
 	}
 
 	/**
--- a/whinjunction-router/src/main/java/io/whinjunction/router/RouterContext.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/RouterContext.java
@@ -6,8 +6,6 @@
 import io.netty.channel.EventLoop;
 import io.whinjunction.forward.FleetRetryBudget;
 import io.whinjunction.proof.ConfigurationProof;
-import io.whinjunction.routing.Route;
-import io.whinjunction.routing.RoutedService;
 import io.whinjunction.routing.RoutingConfiguration;
 
 /**
@@ -108,19 +106,17 @@
 
 	/**
 	 * Judges an attempt that would begin now, where this process stops.
-	 * @param route the route of its request
-	 * @param service its service
+	 * @param candidate the attempt
 	 * @return the judgement, or empty where this process goes on
 	 */
-	Optional<StopAdmission.Judgement> judgeInStop(Route route, RoutedService service);
+	Optional<StopAdmission.Judgement> judgeInStop(StopAdmission.Candidate candidate);
 
 	/**
 	 * A request was answered as a whole.
-	 * @param route its route
-	 * @param service its service
+	 * @param family the requests that it belongs to
 	 * @param tookMs how long it took, in milliseconds
 	 */
-	void answered(Route route, RoutedService service, long tookMs);
+	void answered(StopAdmission.Family family, long tookMs);
 
 	/**
 	 * Notices engines that don't answer.
--- a/whinjunction-router/src/main/java/io/whinjunction/router/StopAdmission.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/StopAdmission.java
@@ -29,10 +29,10 @@
 	 * streams were cut where 33 had been, 6 of them taken after the signal; 12 requests
 	 * were late where 13 had been, and none was refused for good.
 	 */
-	private static final double MOST_CUT = 0.05;
+	private static final double MOST_OUTLIVING = 0.05;
 
 	/** The most of what must not be repeated: its caller would never know what ran. */
-	private static final double MOST_CUT_FOR_GOOD = 0.01;
+	private static final double MOST_OUTLIVING_FOR_GOOD = 0.01;
 
 	/**
 	 * With less than this left nothing begins, however short it usually is, in
@@ -56,29 +56,41 @@
 	 * Judges an attempt that would begin now.
 	 * @param schedule the stop
 	 * @param nowMs the time, on the stop's clock
-	 * @param family the requests that it belongs to
-	 * @param repeatable whether it may be repeated by its caller
+	 * @param candidate the attempt
 	 * @param inProgressMs how long the family's requests in progress have taken so far,
 	 * in milliseconds
 	 * @param others the other processes
 	 * @return the judgement
 	 */
-	Judgement judge(StopSchedule schedule, long nowMs, Family family, boolean repeatable, long[] inProgressMs,
+	Judgement judge(StopSchedule schedule, long nowMs, Candidate candidate, long[] inProgressMs,
 			PeerTable.Others others) {
 		long leftMs = schedule.leftMs(nowMs);
-		double mostCut = repeatable ? MOST_CUT : MOST_CUT_FOR_GOOD;
-		RecentDurations durations = this.byFamily.get(family);
-		boolean known = durations != null && durations.canTell(MOST_CUT);
+		double mostOutliving = candidate.repeatable() ? MOST_OUTLIVING : MOST_OUTLIVING_FOR_GOOD;
+		RecentDurations durations = this.byFamily.get(candidate.family());
+		boolean known = durations != null && durations.canTell(MOST_OUTLIVING);
 		double outliving = known ? durations.partOver(leftMs, inProgressMs) : -1;
 		boolean inTime = schedule.servesRequests(nowMs);
 		// What was seen may speak against an attempt, and be too little to speak for a
 		// late one.
-		boolean lateEnds = known && durations.canTell(mostCut) && leftMs >= LEAST_LEFT_MS;
-		boolean ends = outliving <= mostCut && (inTime || lateEnds);
-		boolean begins = ends || (inTime && !others.suffice());
+		boolean lateEnds = known && durations.canTell(mostOutliving) && leftMs >= LEAST_LEFT_MS;
+		boolean ends = candidate.longestMs() <= leftMs || outliving <= mostOutliving && (inTime || lateEnds);
+		boolean ratherCut = inTime || candidate.again() && candidate.repeatable();
+		boolean begins = ends || ratherCut && !others.suffice();
 		return new Judgement(begins, schedule.ageMs(nowMs), leftMs, outliving, others);
 	}
 
+	/**
+	 * An attempt that would begin. Immutable.
+	 *
+	 * @param family the requests that it belongs to
+	 * @param repeatable whether its caller may repeat it
+	 * @param again whether the request was taken and tried before
+	 * @param longestMs after how long its answer is ended in any case, in milliseconds;
+	 * {@link Long#MAX_VALUE} for a stream
+	 */
+	record Candidate(Family family, boolean repeatable, boolean again, long longestMs) {
+	}
+
 	/**
 	 * Requests that take about as long: an action's duration must not be taken for that
 	 * of the status checks which the same service answers. Immutable.
--- a/whinjunction-router/src/main/java/io/whinjunction/router/StopSequence.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/StopSequence.java
@@ -58,15 +58,35 @@
 			stopAcceptingOnce();
 			Set.copyOf(this.router.callers()).forEach(CallerConnection::closeIfIdle);
 			if (busy.isEmpty() || this.schedule.over(nowMs)) {
-				busy.forEach(CallerConnection::routerEnds);
-				logger.atInfo().log("event=stopped cut=%d took-ms=%d", busy.size(), this.schedule.ageMs(nowMs));
-				this.stopped.run();
+				end(busy, nowMs);
 				return;
 			}
 		}
 		start();
 	}
 
+	private void end(List<CallerConnection> busy, long nowMs) {
+		try {
+			long cut = busy.stream().filter(StopSequence::cut).count();
+			logger.atInfo()
+				.log("event=stopped cut=%d told=%d took-ms=%d", cut, busy.size() - cut, this.schedule.ageMs(nowMs));
+		}
+		finally {
+			this.stopped.run();
+		}
+	}
+
+	private static boolean cut(CallerConnection caller) {
+		try {
+			return caller.routerEnds();
+		}
+		catch (RuntimeException ex) {
+			// The others still have to be told, and the process to end.
+			logger.atSevere().withCause(ex).log("event=end-failed");
+			return true;
+		}
+	}
+
 	private void stopAcceptingOnce() {
 		if (this.accepting) {
 			this.accepting = false;
--- a/whinjunction-router/src/test/java/io/whinjunction/router/StopAdmissionTests.java
+++ b/whinjunction-router/src/test/java/io/whinjunction/router/StopAdmissionTests.java
@@ -77,8 +77,9 @@
 			this.admission.answered((request % 4 > 0) ? checks : bookings, (request % 4 > 0) ? 20 : 6_000);
 		}
 
-		assertThat(this.admission.judge(this.schedule, 2_000, bookings, false, NONE, ENOUGH).begins()).isFalse();
-		assertThat(this.admission.judge(this.schedule, 2_000, checks, true, NONE, ENOUGH).begins()).isTrue();
+		assertThat(this.admission.judge(this.schedule, 2_000, attempt(bookings, false), NONE, ENOUGH).begins())
+			.isFalse();
+		assertThat(this.admission.judge(this.schedule, 2_000, attempt(checks, true), NONE, ENOUGH).begins()).isTrue();
 	}
 
 	// Twenty bookings that took 20 ms don't tell whether one in a hundred takes longer.
@@ -92,6 +93,28 @@
 		assertThat(begins(3_500, true, ENOUGH)).isTrue();
 	}
 
+	// A status check breaks off late in a stop, and no duration is known. Its route ends
+	// it after 1.5 s, and 3 s are left.
+	@Test
+	void whatItsRouteEndsInTimeBegins() {
+		StopAdmission.Candidate check = new StopAdmission.Candidate(DRAFTS, false, false, 1_500);
+
+		assertThat(this.admission.judge(this.schedule, 4_500, check, NONE, ENOUGH).begins()).isTrue();
+		assertThat(this.admission.judge(this.schedule, 6_500, check, NONE, TOO_FEW).begins()).isFalse();
+	}
+
+	@Test
+	void whatMayBeRepeatedIsTriedAgainLateWhereTheOthersDoNotSuffice() {
+		StopAdmission.Candidate again = new StopAdmission.Candidate(DRAFTS, true, true, Long.MAX_VALUE);
+
+		assertThat(this.admission.judge(this.schedule, 4_500, again, NONE, TOO_FEW).begins()).isTrue();
+		assertThat(this.admission.judge(this.schedule, 4_500, again, NONE, ENOUGH).begins()).isFalse();
+	}
+
+	private static StopAdmission.Candidate attempt(StopAdmission.Family family, boolean repeatable) {
+		return new StopAdmission.Candidate(family, repeatable, false, Long.MAX_VALUE);
+	}
+
 	private void serve(int most, long mostMs, int some, long someMs) {
 		for (int request = 0; request < RecentDurations.KEPT; request++) {
 			this.admission.answered(DRAFTS, (request % (most + some) < most) ? mostMs : someMs);
@@ -99,7 +122,7 @@
 	}
 
 	private boolean begins(long nowMs, boolean repeatable, PeerTable.Others others) {
-		return this.admission.judge(this.schedule, nowMs, DRAFTS, repeatable, NONE, others).begins();
+		return this.admission.judge(this.schedule, nowMs, attempt(DRAFTS, repeatable), NONE, others).begins();
 	}
 
 }
