--- a/whinjunction-router/src/main/java/io/whinjunction/router/ForwardSession.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/ForwardSession.java
@@ -264,8 +264,8 @@
 			return false;
 		}
 		boolean again = this.sent + this.notSent > 0;
-		Optional<StopAdmission.Judgement> judgement = this.router
-			.judgeInStop(new StopAdmission.Candidate(family(), this.route.repeatable(), again, longestMs()));
+		Optional<StopAdmission.Judgement> judgement = this.router.judgeInStop(new StopAdmission.Candidate(family(),
+				this.route.repeatable(), again, this.request.lastEventId() != null, longestMs()));
 		judgement.ifPresent((judged) -> RequestLog.judgedInStop(this, judged));
 		return judgement.isPresent() && !judgement.get().begins();
 	}
--- a/whinjunction-router/src/main/java/io/whinjunction/router/StopAdmission.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/StopAdmission.java
@@ -75,7 +75,7 @@
 		boolean lateEnds = known && durations.canTell(mostOutliving) && leftMs >= LEAST_LEFT_MS;
 		boolean ends = candidate.longestMs() <= leftMs || outliving <= mostOutliving && (inTime || lateEnds);
 		boolean ratherCut = inTime || candidate.again() && candidate.repeatable();
-		boolean begins = ends || ratherCut && !others.suffice();
+		boolean begins = ends || ratherCut && (candidate.resumed() || !others.suffice());
 		return new Judgement(begins, schedule.ageMs(nowMs), leftMs, outliving, others);
 	}
 
@@ -85,10 +85,12 @@
 	 * @param family the requests that it belongs to
 	 * @param repeatable whether its caller may repeat it
 	 * @param again whether the request was taken and tried before
+	 * @param resumed whether its caller goes on with a stream that broke off: it has come
+	 * back once, and is not sent away again for what may happen
 	 * @param longestMs after how long its answer is ended in any case, in milliseconds;
 	 * {@link Long#MAX_VALUE} for a stream
 	 */
-	record Candidate(Family family, boolean repeatable, boolean again, long longestMs) {
+	record Candidate(Family family, boolean repeatable, boolean again, boolean resumed, long longestMs) {
 	}
 
 	/**
--- a/whinjunction-router/src/test/java/io/whinjunction/router/StopAdmissionTests.java
+++ b/whinjunction-router/src/test/java/io/whinjunction/router/StopAdmissionTests.java
@@ -97,7 +97,7 @@
 	// it after 1.5 s, and 3 s are left.
 	@Test
 	void whatItsRouteEndsInTimeBegins() {
-		StopAdmission.Candidate check = new StopAdmission.Candidate(DRAFTS, false, false, 1_500);
+		StopAdmission.Candidate check = new StopAdmission.Candidate(DRAFTS, false, false, false, 1_500);
 
 		assertThat(this.admission.judge(this.schedule, 4_500, check, NONE, ENOUGH).begins()).isTrue();
 		assertThat(this.admission.judge(this.schedule, 6_500, check, NONE, TOO_FEW).begins()).isFalse();
@@ -105,14 +105,25 @@
 
 	@Test
 	void whatMayBeRepeatedIsTriedAgainLateWhereTheOthersDoNotSuffice() {
-		StopAdmission.Candidate again = new StopAdmission.Candidate(DRAFTS, true, true, Long.MAX_VALUE);
+		StopAdmission.Candidate again = new StopAdmission.Candidate(DRAFTS, true, true, false, Long.MAX_VALUE);
 
 		assertThat(this.admission.judge(this.schedule, 4_500, again, NONE, TOO_FEW).begins()).isTrue();
 		assertThat(this.admission.judge(this.schedule, 4_500, again, NONE, ENOUGH).begins()).isFalse();
 	}
 
+	// An editor's draft is cut by one router's end, and goes on at another one that was
+	// told to stop meanwhile. Refused there, it finds nobody within its last try.
+	@Test
+	void aStreamThatBrokeOffGoesOnWhereOthersWouldServeToo() {
+		serve(9, 2_000, 1, 6_000);
+		StopAdmission.Candidate resumed = new StopAdmission.Candidate(DRAFTS, true, false, true, Long.MAX_VALUE);
+
+		assertThat(this.admission.judge(this.schedule, 2_000, resumed, NONE, ENOUGH).begins()).isTrue();
+		assertThat(this.admission.judge(this.schedule, 3_000, resumed, NONE, ENOUGH).begins()).isFalse();
+	}
+
 	private static StopAdmission.Candidate attempt(StopAdmission.Family family, boolean repeatable) {
-		return new StopAdmission.Candidate(family, repeatable, false, Long.MAX_VALUE);
+		return new StopAdmission.Candidate(family, repeatable, false, false, Long.MAX_VALUE);
 	}
 
 	private void serve(int most, long mostMs, int some, long someMs) {
