--- a/whinjunction-entry/src/test/java/io/whinjunction/entry/Http2Probe.java
+++ b/whinjunction-entry/src/test/java/io/whinjunction/entry/Http2Probe.java
@@ -21,7 +21,9 @@
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http2.Http2Error;
 import io.netty.handler.codec.http2.Http2FrameCodecBuilder;
+import io.netty.handler.codec.http2.Http2GoAwayFrame;
 import io.netty.handler.codec.http2.Http2MultiplexHandler;
 import io.netty.handler.codec.http2.Http2StreamChannel;
 import io.netty.handler.codec.http2.Http2StreamChannelBootstrap;
@@ -36,12 +38,16 @@
 
 	private final Channel connection;
 
-	private Http2Probe(EventLoopGroup group, Channel connection) {
+	private final CompletableFuture<Http2Error> goAway;
+
+	private Http2Probe(EventLoopGroup group, Channel connection, CompletableFuture<Http2Error> goAway) {
 		this.group = group;
 		this.connection = connection;
+		this.goAway = goAway;
 	}
 
 	static Http2Probe connect(int port) throws InterruptedException {
+		CompletableFuture<Http2Error> goAway = new CompletableFuture<>();
 		EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
 		Channel connection = new Bootstrap().group(group)
 			.channel(NioSocketChannel.class)
@@ -51,14 +57,30 @@
 				protected void initChannel(Channel channel) {
 					channel.pipeline()
 						.addLast(Http2FrameCodecBuilder.forClient().build(),
-								new Http2MultiplexHandler(new ChannelInboundHandlerAdapter()));
+								new Http2MultiplexHandler(new ChannelInboundHandlerAdapter()),
+								new SimpleChannelInboundHandler<Http2GoAwayFrame>() {
+
+									@Override
+									protected void channelRead0(ChannelHandlerContext context, Http2GoAwayFrame frame) {
+										goAway.complete(Http2Error.valueOf(frame.errorCode()));
+									}
+
+								});
 				}
 
 			})
 			.connect("127.0.0.1", port)
 			.sync()
 			.channel();
-		return new Http2Probe(group, connection);
+		return new Http2Probe(group, connection, goAway);
+	}
+
+	/**
+	 * With what the server asked for no more streams on this connection.
+	 * @return completes when it asks
+	 */
+	CompletableFuture<Http2Error> goAway() {
+		return this.goAway;
 	}
 
 	Stream draft(String key, String prompt, int tokens) throws InterruptedException {
--- a/whinjunction-entry/src/test/java/io/whinjunction/entry/LocalSystem.java
+++ b/whinjunction-entry/src/test/java/io/whinjunction/entry/LocalSystem.java
@@ -66,6 +66,10 @@
 
 	private EntrySettings.Tls tls;
 
+	private int noticeMs;
+
+	private int drainMs = 60_000;
+
 	LocalSystem() {
 		this.platform = address(serve(new PlatformServer(this.store)));
 	}
@@ -98,6 +102,12 @@
 		return this;
 	}
 
+	LocalSystem stopping(int newNoticeMs, int newDrainMs) {
+		this.noticeMs = newNoticeMs;
+		this.drainMs = newDrainMs;
+		return this;
+	}
+
 	LocalSystem entries(int count) {
 		for (int i = 0; i < count; i++) {
 			this.peerPorts.add(FreePorts.next());
@@ -121,7 +131,7 @@
 		List<String> seeds = this.peerPorts.stream().map((port) -> "127.0.0.1:" + port).toList();
 		EntrySettings settings = new EntrySettings("entry-" + index, DOMAINS.get(index % DOMAINS.size()), "127.0.0.1",
 				0, 0, this.peerPorts.get(index), platformAddress, seeds, "", this.limits,
-				new EntrySettings.Timing(1000, 500, 300, 100, 100, 2000, 1000, 0, 60_000), this.tls);
+				new EntrySettings.Timing(1000, 500, 300, 100, 100, 2000, 1000, this.noticeMs, this.drainMs), this.tls);
 		try {
 			Entry entry = new Entry(settings);
 			this.entries.add(entry);
