A stopping entry's answers end their connections, and a refusal waits for its turn

Cause: nothing told a caller to leave a connection that it keeps, so that it sent until the port was closed, and its last request met a closed connection without a word. And refusals by the head (a stop, a bad key, a large body) were written at once: behind a running stream they cut it, and before its first byte the caller took "not run" for the answer of a draft that ran.

Change: HttpServer.endConnections (connection: close with each answer, GOAWAY for all streams of an HTTP/2 connection), refuseArriving (a request of which a part has come is answered 503, not run). Early refusals pass to ExchangeHandler as LastAnswer, which gives them in their turn; nothing is begun behind an answer that ends its connection.

Ruled out: closing idle connections at the end of the notice, since a request may be on its way; GOAWAY with the last stream taken, since it drops streams on their way that can still be answered.

--- a/whinjunction-core/src/main/java/io/whinjunction/http/server/BodyAggregator.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/http/server/BodyAggregator.java
@@ -1,6 +1,5 @@
 package io.whinjunction.http.server;
 
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObjectAggregator;
@@ -23,7 +22,7 @@
 	@Override
 	protected void handleOversizedMessage(ChannelHandlerContext context, HttpMessage oversized) {
 		Reply reply = Reply.json(413, BODY.formatted(this.maxBodyBytes)).with("whin-outcome", "not-run");
-		context.writeAndFlush(Responses.whole(reply, true)).addListener(ChannelFutureListener.CLOSE);
+		context.fireUserEventTriggered(new LastAnswer(reply));
 	}
 
 }
--- a/whinjunction-core/src/main/java/io/whinjunction/http/server/ChannelExchange.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/http/server/ChannelExchange.java
@@ -40,10 +40,10 @@
 
 	private final Request request;
 
-	private final boolean keepAlive;
-
 	private final boolean http2;
 
+	private final OpenConnections connections;
+
 	private final Runnable finished;
 
 	private final ReentrantLock lock = new ReentrantLock();
@@ -56,11 +56,16 @@
 
 	private boolean ended;
 
-	ChannelExchange(Channel channel, Request request, boolean keepAlive, boolean http2, Runnable finished) {
+	/** Read by the event loop after {@link #finished}. */
+	private volatile boolean closing;
+
+	ChannelExchange(Channel channel, Request request, boolean keepAlive, boolean http2, OpenConnections connections,
+			Runnable finished) {
 		this.channel = channel;
 		this.request = request;
-		this.keepAlive = keepAlive;
+		this.closing = !keepAlive;
 		this.http2 = http2;
+		this.connections = connections;
 		this.finished = finished;
 	}
 
@@ -76,19 +81,21 @@
 		}
 		this.ended = true;
 		// An answer to HEAD has no body; one sent all the same would be read as the next.
-		Reply sent = this.request.method().equals("HEAD") ? new Reply(reply.status(), reply.headers(), new byte[0])
+		Reply whole = this.request.method().equals("HEAD") ? new Reply(reply.status(), reply.headers(), new byte[0])
 				: reply;
-		finish(this.channel.writeAndFlush(Responses.whole(sent, !this.keepAlive)));
+		tellToLeave();
+		finish(this.channel.writeAndFlush(Responses.whole(whole, this.closing)));
 	}
 
 	@Override
 	public void begin(int status, List<Map.Entry<String, String>> headers) {
 		this.begun = true;
+		tellToLeave();
 		HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
 		Responses.add(response.headers(), headers);
 		if (!this.http2) {
 			response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
-			if (!this.keepAlive) {
+			if (this.closing) {
 				response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
 			}
 		}
@@ -113,9 +120,9 @@
 	public void abort() {
 		this.ended = true;
 		this.gone = true;
+		this.closing = true;
 		// Queued behind what was written, so that the reader gets all of it first.
-		this.channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
-		this.finished.run();
+		finish(this.channel.writeAndFlush(Unpooled.EMPTY_BUFFER));
 	}
 
 	@Override
@@ -123,6 +130,14 @@
 		return this.gone;
 	}
 
+	/**
+	 * Whether the connection, or the HTTP/2 stream, ends with this answer.
+	 * @return whether nothing may follow
+	 */
+	boolean closing() {
+		return this.closing;
+	}
+
 	void markGone() {
 		this.gone = true;
 		signalWritable();
@@ -157,8 +172,18 @@
 		}
 	}
 
+	// A stream that has begun can't be told any more; the next answer tells its caller.
+	private void tellToLeave() {
+		if (this.http2) {
+			this.connections.leave(this.channel);
+		}
+		else {
+			this.closing |= this.connections.ending();
+		}
+	}
+
 	private void finish(ChannelFuture written) {
-		if (!this.keepAlive) {
+		if (this.closing) {
 			written.addListener(ChannelFutureListener.CLOSE);
 		}
 		this.finished.run();
--- a/whinjunction-core/src/main/java/io/whinjunction/http/server/ConnectionInitializer.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/http/server/ConnectionInitializer.java
@@ -26,9 +26,12 @@
 
 	private final Handler handler;
 
-	ConnectionInitializer(HttpServerSettings settings, Handler handler) {
+	private final OpenConnections connections;
+
+	ConnectionInitializer(HttpServerSettings settings, Handler handler, OpenConnections connections) {
 		this.settings = settings;
 		this.handler = handler;
+		this.connections = connections;
 	}
 
 	@Override
@@ -85,7 +88,8 @@
 	private void addCommon(ChannelPipeline pipeline, SlowRequestGuard guard, boolean http2) {
 		pipeline.addLast(new HeadGuard(this.handler));
 		pipeline.addLast(new BodyAggregator(this.settings.maxBodyBytes()));
-		pipeline.addLast(new ExchangeHandler(this.handler, guard, http2));
+		pipeline.addLast(new ExchangeHandler(this.handler, guard, this.connections, http2));
+		this.connections.opened(pipeline.channel());
 	}
 
 }
--- a/whinjunction-core/src/main/java/io/whinjunction/http/server/ExchangeHandler.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/http/server/ExchangeHandler.java
@@ -14,8 +14,8 @@
  * Hands whole requests to the handler, one at a time per connection, on virtual threads.
  * <p>
  * Invariant: answers leave in the order of their requests, since a pipelined request
- * waits until the one before it is answered. One per connection or HTTP/2 stream, on its
- * event loop.
+ * waits until the one before it is answered; after an answer that ends the connection
+ * nothing is begun. One per connection or HTTP/2 stream, on its event loop.
  */
 final class ExchangeHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
 
@@ -27,21 +27,33 @@
 
 	private final SlowRequestGuard guard;
 
+	private static final String STOPPING = "{\"error\":{\"code\":\"stopping\",\"message\":\"This server stops; the request had not arrived.\"}}";
+
+	private final OpenConnections connections;
+
 	private final boolean http2;
 
 	private final Deque<Pending> waiting = new ArrayDeque<>();
 
 	private ChannelExchange current;
 
-	ExchangeHandler(Handler handler, SlowRequestGuard guard, boolean http2) {
+	private LastAnswer last;
+
+	private boolean ending;
+
+	ExchangeHandler(Handler handler, SlowRequestGuard guard, OpenConnections connections, boolean http2) {
 		this.handler = handler;
 		this.guard = guard;
+		this.connections = connections;
 		this.http2 = http2;
 	}
 
 	@Override
 	protected void channelRead0(ChannelHandlerContext context, FullHttpRequest message) {
 		this.guard.arrived();
+		if (this.ending) {
+			return;
+		}
 		Request request = HeadGuard.toRequest(message, ByteBufUtil.getBytes(message.content()));
 		Pending pending = new Pending(request, this.http2 || HttpUtil.isKeepAlive(message));
 		if (this.current == null) {
@@ -74,12 +86,18 @@
 
 	@Override
 	public void userEventTriggered(ChannelHandlerContext context, Object event) {
-		if (event instanceof SlowRequestGuard.TooSlow && this.current == null) {
-			Reply reply = Reply.json(408, TOO_SLOW).with("whin-outcome", "not-run");
-			context.writeAndFlush(Responses.whole(reply, true)).addListener(ChannelFutureListener.CLOSE);
-			return;
+		switch (event) {
+			case LastAnswer answer -> end(context, answer);
+			case SlowRequestGuard.TooSlow ignored ->
+				end(context, new LastAnswer(Reply.json(408, TOO_SLOW).with("whin-outcome", "not-run")));
+			case RefuseArriving ignored -> {
+				if (this.guard.arriving()) {
+					end(context, new LastAnswer(
+							Reply.json(503, STOPPING).with("whin-outcome", "not-run").with("retry-after", "1")));
+				}
+			}
+			default -> context.fireUserEventTriggered(event);
 		}
-		context.fireUserEventTriggered(event);
 	}
 
 	@Override
@@ -89,7 +107,7 @@
 
 	private void run(ChannelHandlerContext context, Pending pending) {
 		ChannelExchange exchange = new ChannelExchange(context.channel(), pending.request(), pending.keepAlive(),
-				this.http2, () -> context.executor().execute(() -> next(context)));
+				this.http2, this.connections, () -> context.executor().execute(() -> next(context)));
 		this.current = exchange;
 		Thread.startVirtualThread(() -> handle(exchange));
 	}
@@ -107,16 +125,52 @@
 	}
 
 	private void next(ChannelHandlerContext context) {
+		if (this.current.closing()) {
+			// Whatever came behind must not run: its answer could not be given any more.
+			this.ending = true;
+			this.waiting.clear();
+			return;
+		}
 		this.current = null;
 		Pending pending = this.waiting.poll();
 		if (pending != null) {
 			run(context, pending);
 		}
+		else if (this.last != null) {
+			write(context, this.last);
+		}
 		else {
 			this.guard.idle();
 		}
 	}
 
+	// Written into a running answer it would spoil that one, and be read as its end.
+	private void end(ChannelHandlerContext context, LastAnswer answer) {
+		if (this.ending) {
+			return;
+		}
+		this.ending = true;
+		if (this.current == null) {
+			write(context, answer);
+		}
+		else {
+			this.last = answer;
+		}
+	}
+
+	private void write(ChannelHandlerContext context, LastAnswer answer) {
+		if (this.http2) {
+			this.connections.leave(context.channel());
+		}
+		context.writeAndFlush(Responses.whole(answer.reply(), true)).addListener(ChannelFutureListener.CLOSE);
+	}
+
+	/**
+	 * The event that refuses a request of which only a part has arrived.
+	 */
+	record RefuseArriving() {
+	}
+
 	private record Pending(Request request, boolean keepAlive) {
 	}
 
--- a/whinjunction-core/src/main/java/io/whinjunction/http/server/HeadGuard.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/http/server/HeadGuard.java
@@ -6,7 +6,6 @@
 import java.util.Map;
 import java.util.Optional;
 
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.HttpRequest;
@@ -42,7 +41,7 @@
 			if (refusal.isPresent()) {
 				this.closing = true;
 				ReferenceCountUtil.release(message);
-				context.writeAndFlush(Responses.whole(refusal.get(), true)).addListener(ChannelFutureListener.CLOSE);
+				context.fireUserEventTriggered(new LastAnswer(refusal.get()));
 				return;
 			}
 		}
--- a/whinjunction-core/src/main/java/io/whinjunction/http/server/HttpServer.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/http/server/HttpServer.java
@@ -27,9 +27,12 @@
 
 	private final Channel listener;
 
-	private HttpServer(EventLoopGroup group, Channel listener) {
+	private final OpenConnections connections;
+
+	private HttpServer(EventLoopGroup group, Channel listener, OpenConnections connections) {
 		this.group = group;
 		this.listener = listener;
+		this.connections = connections;
 	}
 
 	/**
@@ -41,15 +44,17 @@
 	 */
 	public static HttpServer start(HttpServerSettings settings, Handler handler) {
 		EventLoopGroup group = new MultiThreadIoEventLoopGroup(WORKERS, NioIoHandler.newFactory());
+		OpenConnections connections = new OpenConnections();
 		ServerBootstrap bootstrap = new ServerBootstrap().group(group)
 			.channel(NioServerSocketChannel.class)
 			.option(ChannelOption.SO_BACKLOG, BACKLOG)
 			.option(ChannelOption.SO_REUSEADDR, true)
 			.childOption(ChannelOption.TCP_NODELAY, true)
 			.childOption(ChannelOption.SO_KEEPALIVE, true)
-			.childHandler(new ConnectionInitializer(settings, handler));
+			.childHandler(new ConnectionInitializer(settings, handler, connections));
 		try {
-			return new HttpServer(group, bootstrap.bind(settings.host(), settings.port()).sync().channel());
+			return new HttpServer(group, bootstrap.bind(settings.host(), settings.port()).sync().channel(),
+					connections);
 		}
 		catch (Exception ex) {
 			group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
@@ -72,6 +77,25 @@
 		this.listener.close().awaitUninterruptibly();
 	}
 
+	/**
+	 * From now on each answer tells its caller to leave the connection. Requests on new
+	 * and open ones are taken as before.
+	 */
+	public void endConnections() {
+		this.connections.end();
+	}
+
+	/**
+	 * Refuses the requests of which a part has arrived: their callers hear that they did
+	 * not run. Returns when the refusals are written.
+	 */
+	public void refuseArriving() {
+		this.connections.signal(new ExchangeHandler.RefuseArriving());
+		// The events are handled in order: an empty task is done after them.
+		this.group.forEach((loop) -> loop.submit(() -> {
+		}).awaitUninterruptibly());
+	}
+
 	@Override
 	public void close() {
 		stopAccepting();
--- a/whinjunction-core/src/main/java/io/whinjunction/http/server/SlowRequestGuard.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/http/server/SlowRequestGuard.java
@@ -53,6 +53,14 @@
 		}
 	}
 
+	/**
+	 * Whether a request has begun to arrive and is not whole.
+	 * @return {@code false} between requests and while one is answered
+	 */
+	boolean arriving() {
+		return this.timer != null;
+	}
+
 	/**
 	 * The next request may come.
 	 */
--- a/whinjunction-entry/src/main/java/io/whinjunction/entry/Entry.java
+++ b/whinjunction-entry/src/main/java/io/whinjunction/entry/Entry.java
@@ -148,9 +148,11 @@
 	public int stop() throws InterruptedException {
 		logger.atInfo().log("entry %s is stopping, %d in progress", this.settings.id(), this.inProgress.count());
 		this.parts.gate().notReady();
+		this.callers.endConnections();
 		this.parts.members().leave(this.ticker.nowMs());
 		this.ticker.sleepMs(this.settings.timing().noticeMs());
 		this.parts.gate().stop();
+		this.callers.refuseArriving();
 		int left = this.inProgress.awaitNone(this.settings.timing().drainMs());
 		if (left > 0) {
 			logger.atSevere()
