An answer is in progress until it has left the entry

Cause: a request counted as ended when its handler was done, while the answer still waited in the process for a slow reader, or for the network thread. A stop then saw nothing in progress, closed the connections and reported 0 cut off: 2,809,954 of 16,777,216 bytes had come. By the library's code, a shutdown of the network threads closes connections before queued writes are done, so that a short answer may be lost in the same way; that was read, not shown by a run.

Change: CallerHandler waits until the answer is written, with the limit that slow readers of streams have (30 s), after the admission queue's slot is free. Ruled out: waiting in reply(), where a slow reader would hold the slot and count as a slow upstream.

--- a/whinjunction-core/src/main/java/io/whinjunction/http/server/ChannelExchange.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/http/server/ChannelExchange.java
@@ -56,6 +56,8 @@
 
 	private boolean ended;
 
+	private ChannelFuture sent;
+
 	/** Read by the event loop after {@link #finished}. */
 	private volatile boolean closing;
 
@@ -130,6 +132,13 @@
 		return this.gone;
 	}
 
+	@Override
+	public void awaitSent() {
+		if (this.sent != null) {
+			this.sent.awaitUninterruptibly(MAX_WRITE_WAIT_MS);
+		}
+	}
+
 	/**
 	 * Whether the connection, or the HTTP/2 stream, ends with this answer.
 	 * @return whether nothing may follow
@@ -183,6 +192,7 @@
 	}
 
 	private void finish(ChannelFuture written) {
+		this.sent = written;
 		if (this.closing) {
 			written.addListener(ChannelFutureListener.CLOSE);
 		}
--- a/whinjunction-core/src/main/java/io/whinjunction/http/server/Exchange.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/http/server/Exchange.java
@@ -45,6 +45,11 @@
 	 */
 	void abort();
 
+	/**
+	 * Waits until the ended answer has left the process, or its reader counts as gone.
+	 */
+	void awaitSent();
+
 	/**
 	 * Whether the caller has gone.
 	 * @return {@code true} once nobody reads any more
--- a/whinjunction-entry/src/main/java/io/whinjunction/entry/CallerHandler.java
+++ b/whinjunction-entry/src/main/java/io/whinjunction/entry/CallerHandler.java
@@ -57,6 +57,9 @@
 		try {
 			RequestRecord record = record(exchange.request());
 			record.end(route(exchange, record));
+			// In progress until then: a stop that does not wait cuts a slow reader's
+			// answer.
+			exchange.awaitSent();
 		}
 		finally {
 			this.inProgress.end();
