A stopping entry begins what it can expect to end, and says at its limit how far the rest came

Cause: requests that waited in the queue were begun after the notice however little time was left, and at the drain limit all that was left was closed without a word: a draft without its error event, a waiting request without its "not run", though nothing of it had run. The drain limit was counted from the end of the notice, so that an entry that stood still in its notice stopped that much later.

Change: the end is fixed once, at the signal (notice-ms + drain-ms). Admission refuses as not run what would run past it by the usual running time, also while it waits; a draft that meets it ends with an error event (unknown; not run where no step was sent). Half a second is left for these words, past the drain limit. The exit code and the count in the log are as before.

Ruled out: refusing all that waits at the end of the notice, since with the usual limits most of it ends in time here; the request's deadline in place of the usual time, since it is longer than many drain limits, and the notice would serve nothing. Not covered: a draft whose step takes longer than the half second, and a plain call in progress: these are cut with no answer, as before.

--- a/whinjunction-core/src/main/java/io/whinjunction/admission/AdmissionQueue.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/admission/AdmissionQueue.java
@@ -131,6 +131,14 @@
 		return removed;
 	}
 
+	/**
+	 * How long a request runs as a rule, waiting left out.
+	 * @return the smoothed time in milliseconds; 0 while none has ended
+	 */
+	public synchronized long usualMs() {
+		return (long) this.smoothedServiceMs;
+	}
+
 	/**
 	 * Requests that run.
 	 * @return their number
--- a/whinjunction-core/src/main/java/io/whinjunction/session/DraftSession.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/session/DraftSession.java
@@ -112,6 +112,9 @@
 				case AttemptEnd.TooLate ignored -> {
 					return givenUp(Code.DEADLINE, "The answer was not whole before its deadline.");
 				}
+				case AttemptEnd.Stopping ignored -> {
+					return givenUp(Code.STOPPING, "This entry stops; its time was up before the answer was whole.");
+				}
 				case AttemptEnd.RuleChanged ignored -> {
 					// Goes on where the data may be now, or ends; no engine is to blame.
 				}
@@ -171,6 +174,9 @@
 			if (late()) {
 				return new AttemptEnd.TooLate();
 			}
+			if (sink.stopping()) {
+				return new AttemptEnd.Stopping();
+			}
 			if (!stillPermitted(pipeline)) {
 				return new AttemptEnd.RuleChanged();
 			}
@@ -307,6 +313,9 @@
 		record TooLate() implements AttemptEnd {
 		}
 
+		record Stopping() implements AttemptEnd {
+		}
+
 		record RuleChanged() implements AttemptEnd {
 		}
 
--- a/whinjunction-core/src/main/java/io/whinjunction/session/TokenSink.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/session/TokenSink.java
@@ -17,4 +17,12 @@
 	 */
 	boolean cancelled();
 
+	/**
+	 * Whether the process ends now, so that no further token can be made.
+	 * @return {@code true} once its time is up
+	 */
+	default boolean stopping() {
+		return false;
+	}
+
 }
--- a/whinjunction-entry/src/main/java/io/whinjunction/entry/Admission.java
+++ b/whinjunction-entry/src/main/java/io/whinjunction/entry/Admission.java
@@ -13,6 +13,10 @@
 
 /**
  * Takes a request through its team's limit and the queue. Stateless.
+ * <p>
+ * Invariant: a stopping entry begins nothing that it would likely cut off. Such a request
+ * is refused as not run as soon as that is known, also while it waits, so that its caller
+ * has time left to ask another entry.
  */
 final class Admission {
 
@@ -33,6 +37,9 @@
 	 * follow; else the refusal
 	 */
 	static Refusal enter(EntryParts parts, AdmissionQueue queue, Team team, long allowedMs, Exchange exchange) {
+		if (!mayEnd(parts, queue)) {
+			return Gate.stopping();
+		}
 		long waitMs = parts.limits().tryStart(team, parts.members().alive().size(), parts.ticker().nowMs());
 		if (waitMs > 0) {
 			return Refusal.temporary(Code.TEAM_LIMIT, "Team '" + team.name() + "' is above its rate.", seconds(waitMs));
@@ -60,9 +67,12 @@
 						"More work of the team is waiting than can be done; another team came first.", 1);
 			}
 			catch (TimeoutException ex) {
-				boolean over = leftMs <= 0 || exchange.gone();
+				boolean mayEnd = mayEnd(parts, queue);
+				boolean over = leftMs <= 0 || exchange.gone() || !mayEnd;
 				if (over && queue.giveUp(team.name(), waiting)) {
-					return Refusal.temporary(Code.DEADLINE, "The request waited as long as its deadline allows.", 1);
+					return mayEnd
+							? Refusal.temporary(Code.DEADLINE, "The request waited as long as its deadline allows.", 1)
+							: Gate.stopping();
 				}
 			}
 			catch (InterruptedException ex) {
@@ -75,6 +85,10 @@
 		}
 	}
 
+	private static boolean mayEnd(EntryParts parts, AdmissionQueue queue) {
+		return parts.gate().leavesTimeFor(queue.usualMs());
+	}
+
 	private static int seconds(long milliseconds) {
 		return (int) Math.max(1, (milliseconds + 999) / 1000);
 	}
--- a/whinjunction-entry/src/main/java/io/whinjunction/entry/DraftHandler.java
+++ b/whinjunction-entry/src/main/java/io/whinjunction/entry/DraftHandler.java
@@ -153,6 +153,11 @@
 			return this.exchange.gone();
 		}
 
+		@Override
+		public boolean stopping() {
+			return !DraftHandler.this.parts.gate().leavesTimeFor(0);
+		}
+
 		void whole(List<String> tokens) {
 			if (!this.body.stream()) {
 				Reply reply = new Reply(200, headers("application/json"),
--- a/whinjunction-entry/src/main/java/io/whinjunction/entry/Entry.java
+++ b/whinjunction-entry/src/main/java/io/whinjunction/entry/Entry.java
@@ -58,6 +58,12 @@
 	/** The least reserve; an engine that dies takes a stage from every running draft. */
 	private static final int RETRY_RESERVE = 20;
 
+	/**
+	 * How long requests that the drain limit ends may take to tell their callers: a look
+	 * of those that wait, and the steps of one token.
+	 */
+	private static final long LAST_WORDS_MS = 500;
+
 	/** After a failed call a loop waits a little, so that an outage is not hammered. */
 	private static final long PAUSE_MS = 200;
 
@@ -141,23 +147,29 @@
 
 	/**
 	 * Stops gracefully: not ready at once, new requests are still taken for a notice,
-	 * then refused; what is in progress ends; then everything is closed.
+	 * then refused; what is in progress ends; at the drain limit the rest is told how far
+	 * it came; then everything is closed.
 	 * @return how many requests were cut off because the operator's limit was reached
 	 * @throws InterruptedException where the thread is interrupted
 	 */
 	public int stop() throws InterruptedException {
 		logger.atInfo().log("entry %s is stopping, %d in progress", this.settings.id(), this.inProgress.count());
-		this.parts.gate().notReady();
+		// Counted once from the signal: a process that stood still meanwhile has that
+		// much
+		// less, as whoever waits for its end sees it.
+		long endsAtMs = this.ticker.nowMs() + this.settings.timing().noticeMs() + this.settings.timing().drainMs();
+		this.parts.gate().notReady(endsAtMs);
 		this.callers.endConnections();
 		this.parts.members().leave(this.ticker.nowMs());
 		this.ticker.sleepMs(this.settings.timing().noticeMs());
 		this.parts.gate().stop();
 		this.callers.refuseArriving();
-		int left = this.inProgress.awaitNone(this.settings.timing().drainMs());
+		int left = this.inProgress.awaitNone(endsAtMs - this.ticker.nowMs());
 		if (left > 0) {
 			logger.atSevere()
 				.log("entry %s cuts off %d requests: the drain limit of %d ms is reached", this.settings.id(), left,
 						this.settings.timing().drainMs());
+			this.inProgress.awaitNone(LAST_WORDS_MS);
 		}
 		close();
 		logger.atInfo().log("entry %s has stopped", this.settings.id());
--- a/whinjunction-entry/src/main/java/io/whinjunction/entry/Gate.java
+++ b/whinjunction-entry/src/main/java/io/whinjunction/entry/Gate.java
@@ -42,6 +42,8 @@
 
 	private volatile boolean stopping;
 
+	private volatile long endsAtMs = Long.MAX_VALUE;
+
 	Gate(ConfigurationHolder configuration, Freshness freshness, String failureDomain, Ticker ticker) {
 		this.configuration = configuration;
 		this.freshness = freshness;
@@ -49,10 +51,24 @@
 		this.ticker = ticker;
 	}
 
-	void notReady() {
+	/**
+	 * The entry has been told to stop.
+	 * @param newEndsAtMs when it ends whatever still runs
+	 */
+	void notReady(long newEndsAtMs) {
+		this.endsAtMs = newEndsAtMs;
 		this.ready = false;
 	}
 
+	/**
+	 * Whether work that is begun now can be expected to end before this entry does.
+	 * @param neededMs how long it takes
+	 * @return {@code true} while the entry is not stopping
+	 */
+	boolean leavesTimeFor(long neededMs) {
+		return this.ticker.nowMs() + neededMs < this.endsAtMs;
+	}
+
 	boolean ready() {
 		return this.ready;
 	}
@@ -63,7 +79,7 @@
 
 	Verdict check(Request head) {
 		if (this.stopping) {
-			return refused(Refusal.temporary(Code.STOPPING, "This entry is stopping; ask another one.", RETRY_AFTER_S));
+			return refused(stopping());
 		}
 		if (!this.freshness.mayServe(this.ticker.nowMs())) {
 			return refused(Refusal.temporary(Code.CONFIGURATION_UNCONFIRMED,
@@ -94,6 +110,10 @@
 		return (here && this.freshness.mayServe(this.ticker.nowMs())) ? placement : null;
 	}
 
+	static Refusal stopping() {
+		return Refusal.temporary(Code.STOPPING, "This entry is stopping; ask another one.", RETRY_AFTER_S);
+	}
+
 	static Refusal unknownService(Verdict.Passed passed, String name) {
 		return Refusal.permanent(Code.UNKNOWN_SERVICE, "Team '" + passed.team().name() + "' has no service '" + name
 				+ "'" + NearestMatch.hint(name, passed.team().services().stream().sorted().toList()));
