Tests: a refusal reaches a caller that still sends its body; what ran is looked at after the stop

The second waits until the entry has stopped before it looks whether the request behind the last answer has run: it looked too soon, and passed without its safeguard.

--- a/whinjunction-entry/src/test/java/io/whinjunction/entry/StoppingEntryTests.java
+++ b/whinjunction-entry/src/test/java/io/whinjunction/entry/StoppingEntryTests.java
@@ -35,10 +35,12 @@
 	// must not run then: its answer could not reach the caller any more.
 	@Test
 	void anAnswerInTheNoticeEndsItsConnectionAndNothingBehindItRuns() {
-		try (LocalSystem system = new LocalSystem().engines(0).stopping(10_000, 1000).entries(1).configure()) {
-			stop(system);
+		try (LocalSystem system = new LocalSystem().engines(0).stopping(3000, 1000).entries(1).configure()) {
+			CompletableFuture<Integer> cutOff = stop(system);
 			String answers = HttpProbe.raw(system.entry(0).callerPort(), booking("first") + booking("second"));
 			assertThat(answers).startsWith("HTTP/1.1 201").contains("connection: close").contains("first");
+			// Whatever had been begun has ended by then.
+			assertThat(cutOff.join()).isZero();
 			assertThat(system.booking().runs("second")).isZero();
 		}
 	}
@@ -112,6 +114,30 @@
 		}
 	}
 
+	// The entry refuses by the head while the caller still sends its body. A connection
+	// that closes at once is reset by the rest: a client that is still writing sees the
+	// reset in place of the refusal, and cannot tell that nothing ran.
+	@Test
+	void aRefusalReachesACallerThatStillSendsItsBody() throws Exception {
+		try (LocalSystem system = new LocalSystem().engines(5).entries(1).configure();
+				Socket socket = connect(system.entry(0).callerPort())) {
+			int port = system.entry(0).callerPort();
+			later(() -> HttpProbe.raw(port, draft("keeps the entry up", 4000)));
+			LocalSystem.await(() -> inProgress(system) == 1);
+			stop(system);
+			LocalSystem.await(() -> refuses(system));
+			String request = draft("x".repeat(9000), 1);
+			send(socket, request.substring(0, 3000));
+			String begin = new String(socket.getInputStream().readNBytes(8), StandardCharsets.ISO_8859_1);
+			for (int from = 3000; from < 9000; from += 1000) {
+				// A reset that answers a piece fails the next one.
+				send(socket, request.substring(from, from + 1000));
+				Thread.sleep(20);
+			}
+			assertThat(begin + readAll(socket)).startsWith("HTTP/1.1 503").contains("not-run").contains("stopping");
+		}
+	}
+
 	// One draft runs, longer than the entry may wait; another waits for its turn. At the
 	// limit the first says that its answer is a part, and that of the second nothing ran.
 	@Test
