A connection whose request is refused before it is whole stays until the refusal can be read

Cause: a refusal by the head, or of a body that is too large or too slow, closed the connection at once; what the caller still sent was answered by a reset, and its client reported that in place of "not run". At a stop this is met by every caller that is just sending a body.

Change: where a request is still arriving, the rest of it is read and dropped for up to a second; a caller that reads the answer closes before that. HTTP/2 is left as it was: only the stream ends. Ruled out: closing the sending half, which TLS does not take without its own end.

--- a/whinjunction-core/src/main/java/io/whinjunction/http/server/ExchangeHandler.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/http/server/ExchangeHandler.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBufUtil;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
@@ -23,6 +25,12 @@
 
 	private static final String TOO_SLOW = "{\"error\":{\"code\":\"too-slow\",\"message\":\"The request did not arrive in time.\"}}";
 
+	/**
+	 * How long a connection outlives its last answer while its caller still sends, in
+	 * milliseconds: some round trips, in which a caller reads the answer and closes.
+	 */
+	private static final long LINGER_MS = 1000;
+
 	private final Handler handler;
 
 	private final SlowRequestGuard guard;
@@ -162,7 +170,15 @@
 		if (this.http2) {
 			this.connections.leave(context.channel());
 		}
-		context.writeAndFlush(Responses.whole(answer.reply(), true)).addListener(ChannelFutureListener.CLOSE);
+		ChannelFuture written = context.writeAndFlush(Responses.whole(answer.reply(), true));
+		if (this.http2 || !this.guard.arriving()) {
+			written.addListener(ChannelFutureListener.CLOSE);
+			return;
+		}
+		// The rest of the request is read and dropped. Closed at once, the connection
+		// would
+		// be reset by it, and the caller would see the reset in place of the answer.
+		context.executor().schedule(() -> context.close(), LINGER_MS, TimeUnit.MILLISECONDS);
 	}
 
 	/**
