--- a/whinjunction-controller/src/main/java/io/whinjunction/controller/Controller.java
+++ b/whinjunction-controller/src/main/java/io/whinjunction/controller/Controller.java
@@ -35,8 +35,8 @@
  * One candidate for giving orders to engines. It is never on a request's path.
  * <p>
  * Invariant: an order is given only while the lease is held by this process's own clock,
- * and carries the lease's fencing number. The loop is one thread; the operators' port
- * only reads.
+ * and none after {@link #close()}; it carries the lease's fencing number. The loop is one
+ * thread; the operators' port only reads.
  */
 public final class Controller implements AutoCloseable {
 
@@ -170,15 +170,17 @@
 
 	private void give(Move move) {
 		Upstream upstream = move.upstream();
-		// Asked at the last moment: the calls before may have outlasted the lease.
-		if (!this.lease.holds()) {
+		// Asked at the last moment: the calls before may have outlasted the lease, and a
+		// stop interrupts them. An order sent then would be read by nobody, and logged as
+		// not taken while the engine drops its caches for it.
+		if (this.closed || !this.lease.holds()) {
 			return;
 		}
 		boolean taken = this.engines.order(upstream.address(),
 				new LoadOrder(upstream.service(), move.range(), upstream.generation(), this.lease.fencing()));
 		logger.atInfo()
 			.log("ordered %s to hold layers %s, fencing %d: %s", upstream.id(), move.range(), this.lease.fencing(),
-					taken ? "taken" : "refused");
+					taken ? "taken" : "refused or not answered");
 	}
 
 	private void sweep() {
