--- a/whinjunction-core/src/main/java/io/whinjunction/http/server/ExchangeHandler.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/http/server/ExchangeHandler.java
@@ -25,6 +25,8 @@
 
 	private static final String TOO_SLOW = "{\"error\":{\"code\":\"too-slow\",\"message\":\"The request did not arrive in time.\"}}";
 
+	private static final String STOPPING = "{\"error\":{\"code\":\"stopping\",\"message\":\"This server stops; the request had not arrived whole.\"}}";
+
 	/**
 	 * How long a connection outlives its last answer while its caller still sends, in
 	 * milliseconds: some round trips, in which a caller reads the answer and closes.
@@ -35,8 +37,6 @@
 
 	private final SlowRequestGuard guard;
 
-	private static final String STOPPING = "{\"error\":{\"code\":\"stopping\",\"message\":\"This server stops; the request had not arrived.\"}}";
-
 	private final OpenConnections connections;
 
 	private final boolean http2;
@@ -175,9 +175,8 @@
 			written.addListener(ChannelFutureListener.CLOSE);
 			return;
 		}
-		// The rest of the request is read and dropped. Closed at once, the connection
-		// would
-		// be reset by it, and the caller would see the reset in place of the answer.
+		// The rest of the request is read and dropped. It would reset a connection that
+		// is closed at once, and the caller would see that in place of the answer.
 		context.executor().schedule(() -> context.close(), LINGER_MS, TimeUnit.MILLISECONDS);
 	}
 
--- a/whinjunction-entry/src/main/java/io/whinjunction/entry/CallerHandler.java
+++ b/whinjunction-entry/src/main/java/io/whinjunction/entry/CallerHandler.java
@@ -57,8 +57,7 @@
 		try {
 			RequestRecord record = record(exchange.request());
 			record.end(route(exchange, record));
-			// In progress until then: a stop that does not wait cuts a slow reader's
-			// answer.
+			// In progress until then: a stop would cut the answer to a slow reader.
 			exchange.awaitSent();
 		}
 		finally {
--- a/whinjunction-entry/src/main/java/io/whinjunction/entry/Entry.java
+++ b/whinjunction-entry/src/main/java/io/whinjunction/entry/Entry.java
@@ -154,9 +154,8 @@
 	 */
 	public int stop() throws InterruptedException {
 		logger.atInfo().log("entry %s is stopping, %d in progress", this.settings.id(), this.inProgress.count());
-		// Counted once from the signal: a process that stood still meanwhile has that
-		// much
-		// less, as whoever waits for its end sees it.
+		// Counted once, from the signal: whoever waits for the end does not wait longer
+		// for a process that stood still in its notice.
 		long endsAtMs = this.ticker.nowMs() + this.settings.timing().noticeMs() + this.settings.timing().drainMs();
 		this.parts.gate().notReady(endsAtMs);
 		this.callers.endConnections();
