--- a/whinjunction-entry/src/main/java/io/whinjunction/entry/CallerHandler.java
+++ b/whinjunction-entry/src/main/java/io/whinjunction/entry/CallerHandler.java
@@ -57,6 +57,8 @@
 		try {
 			RequestRecord record = record(exchange.request());
 			record.end(route(exchange, record));
+			// In progress until then: a stop would cut the answer to a slow reader.
+			exchange.awaitSent();
 		}
 		finally {
 			this.inProgress.end();
