The log says which stages failed a draft and why, and how old a proof was when it ran out

Cause: of a draft that broke off the request's line told only its code; the reasons stood in the decision log, which ends with the process. Of an entry that stopped serving for want of a proof nothing was logged at all. Change: the request's line ends with the failed stages and their reasons, bounded in number and length; Freshness logs when it begins and ceases to serve, with ages and limit.

--- a/whinjunction-core/src/main/java/io/whinjunction/configuration/Freshness.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/configuration/Freshness.java
@@ -1,5 +1,7 @@
 package io.whinjunction.configuration;
 
+import com.google.common.flogger.FluentLogger;
+
 /**
  * Tells whether this entry may act on the revision it holds.
  * <p>
@@ -16,6 +18,8 @@
  */
 public final class Freshness {
 
+	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
 	private static final long NEVER = Long.MIN_VALUE / 2;
 
 	private final long boundMs;
@@ -26,6 +30,8 @@
 
 	private boolean majority;
 
+	private boolean served;
+
 	/**
 	 * Freshness with a bound.
 	 * @param boundMs how old a proof may be, in milliseconds
@@ -69,7 +75,15 @@
 	public synchronized boolean mayServe(long nowMs) {
 		boolean proved = nowMs - this.confirmedAtMs <= this.boundMs;
 		boolean together = this.majority && nowMs - this.exchangedAtMs <= this.boundMs;
-		return proved || (together && this.confirmedAtMs != NEVER);
+		boolean serves = proved || (together && this.confirmedAtMs != NEVER);
+		if (serves != this.served) {
+			this.served = serves;
+			logger.atInfo()
+				.log("event=%s proof_age_ms=%d exchange_age_ms=%d majority=%b limit_ms=%d",
+						serves ? "configuration-confirmed" : "configuration-unconfirmed", ageMs(nowMs),
+						(this.exchangedAtMs == NEVER) ? -1 : nowMs - this.exchangedAtMs, this.majority, this.boundMs);
+		}
+		return serves;
 	}
 
 }
--- a/whinjunction-entry/src/main/java/io/whinjunction/entry/RequestRecord.java
+++ b/whinjunction-entry/src/main/java/io/whinjunction/entry/RequestRecord.java
@@ -1,6 +1,7 @@
 package io.whinjunction.entry;
 
 import java.util.List;
+import java.util.stream.Collectors;
 
 import com.google.common.flogger.FluentLogger;
 import io.opentelemetry.api.trace.Span;
@@ -19,6 +20,12 @@
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
+	/** Bounds the line; the decision log holds all stages. */
+	private static final int MOST_FAILED_LOGGED = 16;
+
+	/** An engine's refusal is its own text, of any length. */
+	private static final int MOST_REASON_CHARS = 100;
+
 	private final EntryParts parts;
 
 	private final String requestId;
@@ -29,6 +36,9 @@
 
 	private final ArrayNode hops = Json.MAPPER.createArrayNode();
 
+	/** The stages that failed, with the reason. */
+	private String failed = "";
+
 	private String team = "none";
 
 	private String service = "none";
@@ -75,6 +85,11 @@
 			node.put("millis", hop.millis());
 			node.put("end", hop.end());
 		}
+		this.failed = taken.stream()
+			.filter((hop) -> !hop.end().equals("ok"))
+			.limit(MOST_FAILED_LOGGED)
+			.map((hop) -> hop.upstream() + " after " + hop.steps() + " steps: " + reason(hop))
+			.collect(Collectors.joining("; "));
 	}
 
 	void end(Outcome outcome) {
@@ -102,9 +117,14 @@
 		node.set("hops", this.hops);
 		this.parts.decisions().put(this.requestId, node.toString());
 		logger.atInfo()
-			.log("request %s team=%s service=%s failure_domain=%s outcome=%s code=%s took_ms=%d hops=%d",
+			.log("request %s team=%s service=%s failure_domain=%s outcome=%s code=%s took_ms=%d hops=%d failed=\"%s\"",
 					this.requestId, this.team, this.service, this.parts.settings().failureDomain(),
-					outcome.headerValue(), code, tookMs, this.hops.size());
+					outcome.headerValue(), code, tookMs, this.hops.size(), this.failed);
+	}
+
+	private static String reason(Hop hop) {
+		String reason = hop.end().replace('"', '\'').replaceAll("\\R", " ");
+		return reason.substring(0, Math.min(MOST_REASON_CHARS, reason.length()));
 	}
 
 }
