--- a/whinjunction-entry/src/main/java/io/whinjunction/entry/Entry.java
+++ b/whinjunction-entry/src/main/java/io/whinjunction/entry/Entry.java
@@ -147,10 +147,8 @@
 	 */
 	public int stop() throws InterruptedException {
 		logger.atInfo().log("entry %s is stopping, %d in progress", this.settings.id(), this.inProgress.count());
-		this.parts.gate().notReady();
 		this.parts.members().leave(this.ticker.nowMs());
-		this.ticker.sleepMs(this.settings.timing().noticeMs());
-		this.parts.gate().stop();
+		this.parts.gate().stopAfter(this.settings.timing().noticeMs());
 		int left = this.inProgress.awaitNone(this.settings.timing().drainMs());
 		if (left > 0) {
 			logger.atSevere()
--- a/whinjunction-entry/src/main/java/io/whinjunction/entry/Gate.java
+++ b/whinjunction-entry/src/main/java/io/whinjunction/entry/Gate.java
@@ -49,15 +49,19 @@
 		this.ticker = ticker;
 	}
 
-	void notReady() {
-		this.ready = false;
-	}
-
 	boolean ready() {
 		return this.ready;
 	}
 
-	void stop() {
+	/**
+	 * Ends the taking of requests: not ready at once, refusing after a notice.
+	 * @param noticeMs how long requests are still taken, so that a balancer can see that
+	 * this entry is not ready
+	 * @throws InterruptedException where the thread is interrupted
+	 */
+	void stopAfter(long noticeMs) throws InterruptedException {
+		this.ready = false;
+		this.ticker.sleepMs(noticeMs);
 		this.stopping = true;
 	}
 
