A stop without notice is not ready and refuses at one moment

Cause: Entry.stop said 'not ready', waited for the notice (none: a sleep of 0 ms, which gives the processor away) and only then refused. Ruled out: drafts cut off by the stop; the log has all ten in progress when the request is answered. Change: without a notice Gate goes to refusing at once, and ready() follows; with one nothing changes.

--- a/whinjunction-entry/src/main/java/io/whinjunction/entry/Gate.java
+++ b/whinjunction-entry/src/main/java/io/whinjunction/entry/Gate.java
@@ -50,18 +50,23 @@
 	}
 
 	boolean ready() {
-		return this.ready;
+		return this.ready && !this.stopping;
 	}
 
 	/**
-	 * Ends the taking of requests: not ready at once, refusing after a notice.
+	 * Ends the taking of requests: not ready at once, refusing after a notice. Without a
+	 * notice both begin at one moment: the thread that stops may be held up between two
+	 * words, for as long as a machine is starved, and whoever saw the first one would
+	 * have a request taken that belongs to another entry.
 	 * @param noticeMs how long requests are still taken, so that a balancer can see that
 	 * this entry is not ready
 	 * @throws InterruptedException where the thread is interrupted
 	 */
 	void stopAfter(long noticeMs) throws InterruptedException {
-		this.ready = false;
-		this.ticker.sleepMs(noticeMs);
+		if (noticeMs > 0) {
+			this.ready = false;
+			this.ticker.sleepMs(noticeMs);
+		}
 		this.stopping = true;
 	}
 
