A process that stood still blames the other side for its silence: test that fails

TimeLimit is HttpCaller's wait as it was, in one place, so that a test can let the process stand still. Two of six tests fail: anAnswerThatLiesUnreadBecauseThisProcessStoodStillIsTaken and aStallAtTheEndOfTheLimitIsNotHeldAgainstTheOtherSide.

--- a/whinjunction-core/src/main/java/io/whinjunction/http/HttpCaller.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/http/HttpCaller.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 
+import io.whinjunction.time.Ticker;
 import org.asynchttpclient.AsyncHttpClient;
 import org.asynchttpclient.DefaultAsyncHttpClientConfig;
 import org.asynchttpclient.Dsl;
@@ -27,6 +28,8 @@
 	/** The library's limit goes off a little after ours, so that ours decides. */
 	private static final long LIBRARY_SLACK_MS = 200;
 
+	private final Ticker ticker = Ticker.system();
+
 	private final AsyncHttpClient client;
 
 	/**
@@ -66,11 +69,12 @@
 		ListenableFuture<Response> future = null;
 		try {
 			int epoch = this.epochs.getOrDefault(call.address(), 0);
-			Duration limit = Duration.ofMillis(call.timeoutMs() + LIBRARY_SLACK_MS);
+			Duration limit = Duration.ofMillis(TimeLimit.longestMs(call.timeoutMs()) + LIBRARY_SLACK_MS);
 			future = LibraryCalls.request(this.client, call, epoch, limit).execute(observer);
-			return LibraryCalls.response(future.get(call.timeoutMs(), TimeUnit.MILLISECONDS));
-		}
-		catch (TimeoutException ex) {
+			ListenableFuture<Response> answer = future;
+			if (new TimeLimit(call.timeoutMs(), this.ticker).await((durationMs) -> isDone(answer, durationMs))) {
+				return LibraryCalls.response(future.get());
+			}
 			future.cancel(true);
 			// The failure: something between the two ends has lost track of all open
 			// connections; each kept one would cost a whole timeout. A new epoch leaves
@@ -94,6 +98,17 @@
 		}
 	}
 
+	private static boolean isDone(ListenableFuture<Response> future, long durationMs)
+			throws InterruptedException, ExecutionException {
+		try {
+			future.get(durationMs, TimeUnit.MILLISECONDS);
+			return true;
+		}
+		catch (TimeoutException ex) {
+			return false;
+		}
+	}
+
 	@Override
 	public void close() {
 		try {
--- /dev/null
+++ b/whinjunction-core/src/test/java/io/whinjunction/http/TimeLimitTests.java
@@ -0,0 +1,112 @@
+package io.whinjunction.http;
+
+import io.whinjunction.time.Ticker;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link TimeLimit}.
+ */
+class TimeLimitTests {
+
+	private static final long LIMIT_MS = 250;
+
+	private long nowMs;
+
+	private long stalledAtMs = Long.MAX_VALUE;
+
+	private long stallMs;
+
+	private long answerAtMs = Long.MAX_VALUE;
+
+	/** How much later than asked for each wait returns. */
+	private long lateMs;
+
+	// A caller sees its draft move to another engine, or break off when no engine is
+	// left.
+	// The engine answered after 50 ms. This process got no processor for 400 ms: its
+	// thread that reads connections and the one that waits for the limit stood still
+	// together. The limit is over when they run again, and the answer lies unread.
+	@Test
+	void anAnswerThatLiesUnreadBecauseThisProcessStoodStillIsTaken() throws Exception {
+		this.answerAtMs = 50;
+		this.stalledAtMs = 10;
+		this.stallMs = 400;
+		assertThat(await()).isTrue();
+	}
+
+	// The same, where the process stands still just before the limit is over.
+	@Test
+	void aStallAtTheEndOfTheLimitIsNotHeldAgainstTheOtherSide() throws Exception {
+		this.answerAtMs = 240;
+		this.stalledAtMs = 238;
+		this.stallMs = 60;
+		assertThat(await()).isTrue();
+	}
+
+	// A frozen engine must be noticed as soon as ever where this process was in time.
+	@Test
+	void silenceIsNoticedAtTheLimit() throws Exception {
+		assertThat(await()).isFalse();
+		assertThat(this.nowMs).isEqualTo(LIMIT_MS);
+	}
+
+	@Test
+	void silenceIsNoticedSoonAfterTheLimitWhereTimersAreALittleLate() throws Exception {
+		this.lateMs = 2;
+		assertThat(await()).isFalse();
+		assertThat(this.nowMs).isLessThan(LIMIT_MS + LIMIT_MS / 10);
+	}
+
+	@Test
+	void anAnswerInTimeIsTakenAtOnce() throws Exception {
+		this.answerAtMs = 30;
+		assertThat(await()).isTrue();
+		assertThat(this.nowMs).isEqualTo(30);
+	}
+
+	// A process that is late all the time must still come to an end.
+	@Test
+	void aWaitEndsHoweverLateThisProcessIs() throws Exception {
+		this.lateMs = 90;
+		assertThat(await()).isFalse();
+		assertThat(this.nowMs).isLessThanOrEqualTo(TimeLimit.longestMs(LIMIT_MS) + this.lateMs);
+	}
+
+	private boolean await() throws Exception {
+		return new TimeLimit(LIMIT_MS, new Clock()).await(this::within);
+	}
+
+	private boolean within(long durationMs) {
+		assertThat(durationMs).isPositive();
+		long endMs = this.nowMs + durationMs;
+		if (this.stalledAtMs < endMs && this.stalledAtMs >= this.nowMs) {
+			// What came meanwhile is read after the thread that waits has looked.
+			this.nowMs = Math.max(endMs, this.stalledAtMs + this.stallMs);
+			this.stalledAtMs = Long.MAX_VALUE;
+			return false;
+		}
+		if (this.answerAtMs <= endMs) {
+			this.nowMs = Math.max(this.nowMs, this.answerAtMs);
+			return true;
+		}
+		this.nowMs = endMs + this.lateMs;
+		return false;
+	}
+
+	private final class Clock implements Ticker {
+
+		@Override
+		public long nowMs() {
+			return TimeLimitTests.this.nowMs;
+		}
+
+		@Override
+		public void sleepMs(long durationMs) {
+			throw new UnsupportedOperationException();
+		}
+
+	}
+
+}
