--- a/whinjunction-entry/src/main/java/io/whinjunction/entry/Entry.java
+++ b/whinjunction-entry/src/main/java/io/whinjunction/entry/Entry.java
@@ -157,11 +157,10 @@
 		// Counted once, from the signal: whoever waits for the end does not wait longer
 		// for a process that stood still in its notice.
 		long endsAtMs = this.ticker.nowMs() + this.settings.timing().noticeMs() + this.settings.timing().drainMs();
-		this.parts.gate().notReady(endsAtMs);
+		this.parts.gate().endsAt(endsAtMs);
 		this.callers.endConnections();
 		this.parts.members().leave(this.ticker.nowMs());
-		this.ticker.sleepMs(this.settings.timing().noticeMs());
-		this.parts.gate().stop();
+		this.parts.gate().stopAfter(this.settings.timing().noticeMs());
 		this.callers.refuseArriving();
 		int left = this.inProgress.awaitNone(endsAtMs - this.ticker.nowMs());
 		if (left > 0) {
--- a/whinjunction-entry/src/main/java/io/whinjunction/entry/Gate.java
+++ b/whinjunction-entry/src/main/java/io/whinjunction/entry/Gate.java
@@ -26,6 +26,12 @@
  */
 final class Gate {
 
+	/** A read of the platform takes at most its default limit of 1 s. */
+	static final long LONGEST_PROOF_WAIT_MS = 1000;
+
+	/** A proof is had by one call, which takes some milliseconds. */
+	private static final long PROOF_LOOK_MS = 10;
+
 	private static final int RETRY_AFTER_S = 1;
 
 	private final ConfigurationHolder configuration;
@@ -55,9 +61,8 @@
 	 * The entry has been told to stop.
 	 * @param newEndsAtMs when it ends whatever still runs
 	 */
-	void notReady(long newEndsAtMs) {
+	void endsAt(long newEndsAtMs) {
 		this.endsAtMs = newEndsAtMs;
-		this.ready = false;
 	}
 
 	/**
@@ -70,10 +75,23 @@
 	}
 
 	boolean ready() {
-		return this.ready;
+		return this.ready && !this.stopping;
 	}
 
-	void stop() {
+	/**
+	 * Ends the taking of requests: not ready at once, refusing after a notice. Without a
+	 * notice both begin at one moment: the thread that stops may be held up between two
+	 * words, for as long as a machine is starved, and whoever saw the first one would
+	 * have a request taken that belongs to another entry.
+	 * @param noticeMs how long requests are still taken, so that a balancer can see that
+	 * this entry is not ready
+	 * @throws InterruptedException where the thread is interrupted
+	 */
+	void stopAfter(long noticeMs) throws InterruptedException {
+		if (noticeMs > 0) {
+			this.ready = false;
+			this.ticker.sleepMs(noticeMs);
+		}
 		this.stopping = true;
 	}
 
@@ -114,6 +132,29 @@
 		return Refusal.temporary(Code.STOPPING, "This entry is stopping; ask another one.", RETRY_AFTER_S);
 	}
 
+	/**
+	 * Where the data of a draft that has begun may be now. The failure it is there for:
+	 * an entry stood still until its proof ran out, gave up all its drafts when it ran
+	 * again, and had the next proof a few milliseconds later. A draft whose caller
+	 * already has a part waits for that proof; nothing is sent meanwhile, and what it
+	 * waits for is judged by the configuration of that time.
+	 * @param team the team
+	 * @return as {@link #placement}, after at most {@link #LONGEST_PROOF_WAIT_MS}
+	 */
+	Placement awaitPlacement(String team) {
+		long endMs = this.ticker.nowMs() + LONGEST_PROOF_WAIT_MS;
+		try {
+			while (!this.freshness.mayServe(this.ticker.nowMs()) && this.ticker.nowMs() < endMs) {
+				this.ticker.sleepMs(PROOF_LOOK_MS);
+			}
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			return null;
+		}
+		return placement(team);
+	}
+
 	static Refusal unknownService(Verdict.Passed passed, String name) {
 		return Refusal.permanent(Code.UNKNOWN_SERVICE, "Team '" + passed.team().name() + "' has no service '" + name
 				+ "'" + NearestMatch.hint(name, passed.team().services().stream().sorted().toList()));
