--- a/whinjunction-router/src/main/java/io/whinjunction/router/Attempt.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/Attempt.java
@@ -138,7 +138,7 @@
 		headers.set(HttpHeaderNames.HOST, request.host());
 		this.session.router().dialect().addHandover(headers, handover());
 		HttpMethod method = HttpMethod.valueOf(request.method());
-		if (!this.session.passingThrough()) {
+		if (!this.session.body().passingThrough()) {
 			sendWhole(method, headers);
 		}
 		else {
@@ -156,7 +156,7 @@
 	}
 
 	private void sendWhole(HttpMethod method, HttpHeaders headers) {
-		ByteBuf body = this.session.bodySoFar().duplicate();
+		ByteBuf body = this.session.body().soFar();
 		if (body.isReadable() || HttpMethod.POST.equals(method) || HttpMethod.PUT.equals(method)) {
 			headers.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
 		}
@@ -167,8 +167,8 @@
 	}
 
 	private void sendBegin(HttpMethod method, HttpHeaders headers) {
-		if (this.session.announcedBytes() >= 0) {
-			headers.set(HttpHeaderNames.CONTENT_LENGTH, this.session.announcedBytes());
+		if (this.session.body().announcedBytes() >= 0) {
+			headers.set(HttpHeaderNames.CONTENT_LENGTH, this.session.body().announcedBytes());
 		}
 		else {
 			headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
@@ -176,9 +176,9 @@
 		this.connection.channel()
 			.write(new DefaultHttpRequest(HttpVersion.HTTP_1_1, method, this.session.request().uri(), headers));
 		this.connection.channel()
-			.writeAndFlush(new DefaultHttpContent(Unpooled.unreleasableBuffer(this.session.bodySoFar().duplicate())));
+			.writeAndFlush(new DefaultHttpContent(Unpooled.unreleasableBuffer(this.session.body().soFar())));
 		this.session.caller().reading(true);
-		if (this.session.bodyEnded()) {
+		if (this.session.body().ended()) {
 			sendBodyEnd();
 		}
 	}
@@ -190,7 +190,7 @@
 	void sendBody(ByteBuf content) {
 		if (!this.sent || this.ended) {
 			// Not connected yet: the pieces wait behind those that were read already.
-			this.session.bodySoFar().writeBytes(content);
+			this.session.body().hold(content);
 			content.release();
 			this.session.caller().reading(false);
 			return;
@@ -416,7 +416,7 @@
 
 	@Override
 	public void onWritable(boolean writable) {
-		if (this.session.passingThrough() && !this.session.bodyEnded()) {
+		if (this.session.body().passingThrough() && !this.session.body().ended()) {
 			this.session.caller().reading(writable);
 		}
 	}
--- a/whinjunction-router/src/main/java/io/whinjunction/router/ForwardSession.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/ForwardSession.java
@@ -7,7 +7,6 @@
 import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.util.concurrent.ScheduledFuture;
@@ -29,12 +28,6 @@
  */
 final class ForwardSession {
 
-	/**
-	 * Bodies up to this size are read whole and can be sent again, in bytes; larger ones
-	 * pass through as they come. Most are a few kilobytes.
-	 */
-	private static final int REPLAY_BYTES = 65_536;
-
 	/**
 	 * When to come back where nothing can serve a request now, in milliseconds: a hole is
 	 * found and filled in about this time.
@@ -58,7 +51,7 @@
 
 	private final CallerRequest request;
 
-	private final long announcedBytes;
+	private final RequestBody body;
 
 	private final long startedMs;
 
@@ -68,8 +61,6 @@
 	/** Upstreams that it was sent to. */
 	private final Set<String> sentTo = new HashSet<>();
 
-	private final ByteBuf body = Unpooled.buffer(0);
-
 	private Route route;
 
 	private RoutedTeam team;
@@ -90,10 +81,6 @@
 
 	private Answer failedAnswer;
 
-	private boolean bodyEnded;
-
-	private boolean passingThrough;
-
 	private boolean answerBegun;
 
 	private boolean done;
@@ -110,13 +97,13 @@
 		this.router = router;
 		this.caller = caller;
 		this.request = request;
-		this.announcedBytes = announcedBytes;
+		this.body = new RequestBody(announcedBytes);
 		this.startedMs = router.nowMs();
 	}
 
 	/** Judges the head; the first attempt waits for the body. */
 	void start() {
-		switch (RequestGate.judge(this.router, this.request, this.announcedBytes)) {
+		switch (RequestGate.judge(this.router, this.request, this.body.announcedBytes())) {
 			case RequestGate.Verdict.TurnedAway away -> {
 				this.route = away.route();
 				finish(away.outcome(), away.reason(), away.answer());
@@ -144,17 +131,14 @@
 		if (this.done) {
 			return;
 		}
-		long soFar = this.body.writerIndex() + (long) content.readableBytes();
-		if (!this.passingThrough && soFar <= REPLAY_BYTES) {
-			this.body.writeBytes(content);
+		if (this.body.keep(content)) {
 			return;
 		}
-		if (soFar > this.router.configuration().limits().maxBodyBytes()) {
+		if (this.body.bytesWith(content) > this.router.configuration().limits().maxBodyBytes()) {
 			finish("denied", "too-large", RequestGate.tooLarge());
 			return;
 		}
-		if (!this.passingThrough) {
-			this.passingThrough = true;
+		if (this.body.passThrough()) {
 			tryFirst();
 		}
 		if (this.attempt != null) {
@@ -164,11 +148,11 @@
 
 	/** The body is whole. */
 	void onBodyEnd() {
-		this.bodyEnded = true;
+		this.body.end();
 		if (this.done) {
 			return;
 		}
-		if (!this.passingThrough) {
+		if (!this.body.passingThrough()) {
 			tryFirst();
 		}
 		else if (this.attempt != null) {
@@ -309,7 +293,8 @@
 		}
 		NextStep next = RetryPolicy.next(this.route, end, history, leftMs(), this::repeatGranted);
 		// What was passed on of an answer without events can't be taken back.
-		boolean replayable = !this.passingThrough && (!this.answerBegun || this.route.kind() == RequestKind.STREAMING);
+		boolean replayable = !this.body.passingThrough()
+				&& (!this.answerBegun || this.route.kind() == RequestKind.STREAMING);
 		if (next instanceof NextStep.TryAgain && replayable) {
 			tryNext();
 			return;
@@ -532,22 +517,10 @@
 		return teams ? this.team.priority() : this.route.limits().priority();
 	}
 
-	ByteBuf bodySoFar() {
+	RequestBody body() {
 		return this.body;
 	}
 
-	boolean bodyEnded() {
-		return this.bodyEnded;
-	}
-
-	long announcedBytes() {
-		return this.announcedBytes;
-	}
-
-	boolean passingThrough() {
-		return this.passingThrough;
-	}
-
 	boolean answerBegun() {
 		return this.answerBegun;
 	}
