--- a/whinjunction-core/src/main/java/io/whinjunction/http/HttpCaller.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/http/HttpCaller.java
@@ -25,8 +25,11 @@
  */
 public final class HttpCaller implements AutoCloseable {
 
-	/** The library's limit goes off a little after ours, so that ours decides. */
-	private static final long LIBRARY_SLACK_MS = 200;
+	/**
+	 * Every call is ended by our own limit. The library's timer would also go off where
+	 * this process stood still, so it lies beyond any standstill worth waiting for.
+	 */
+	private static final long LIBRARY_SLACK_MS = 60_000;
 
 	private final Ticker ticker = Ticker.system();
 
