Drafts break off where an entry's proof ran out for a moment: tests that fail

aDraftThatHasBegunWaitsForTheNextProof, aDraftWaitsForAProofNoLongerThanItsLimit and aRuleThatWasTightenedMeanwhileIsInForceAfterTheWait fail, since Gate.awaitPlacement does not wait yet; anEntryWhoseProofRanOutAsksForOneAtOnce and aLostManifestIsNoProof, since the question for a proof is always a watch. The log of StreamsUnderFailureTests whose process is stopped for 1.5 s at a time: 'event=configuration-unconfirmed proof_age_ms=2004 ... limit_ms=2000', and ten drafts end with that code at once.

--- a/whinjunction-entry/src/main/java/io/whinjunction/entry/Gate.java
+++ b/whinjunction-entry/src/main/java/io/whinjunction/entry/Gate.java
@@ -26,6 +26,9 @@
  */
 final class Gate {
 
+	/** A read of the platform takes at most its default limit of 1 s. */
+	static final long LONGEST_PROOF_WAIT_MS = 1000;
+
 	private static final int RETRY_AFTER_S = 1;
 
 	private final ConfigurationHolder configuration;
@@ -103,6 +106,15 @@
 		return (here && this.freshness.mayServe(this.ticker.nowMs())) ? placement : null;
 	}
 
+	/**
+	 * Where the data of a request that has begun may be now.
+	 * @param team the team
+	 * @return as {@link #placement}
+	 */
+	Placement awaitPlacement(String team) {
+		return placement(team);
+	}
+
 	static Refusal unknownService(Verdict.Passed passed, String name) {
 		return Refusal.permanent(Code.UNKNOWN_SERVICE, "Team '" + passed.team().name() + "' has no service '" + name
 				+ "'" + NearestMatch.hint(name, passed.team().services().stream().sorted().toList()));
