A draft that has begun waits for the next proof, and an entry without one asks for it at once

Cause: an entry that stood still, or was starved, for nearly confirmation-ms found its proof run out and ended all its drafts with configuration-unconfirmed; the next proof came a watch later. This is how aDraftGoesOnWhen... and aStopCutsOffNoStream of StreamsUnderFailureTests break off; where new drafts were refused by it the tests await steps in vain ('stand still') or meet a 503 (aLeavingEngine...). Ruled out: retries used up or no upstream left (no draft ended so), the freshness bound itself: beside 20 busy loops on two processors no proof was later than 600 ms, so it takes a standstill. Change: Gate.awaitPlacement waits at most 1 s for a proof while nothing is sent, and judges by the configuration held then; a new request is still refused at once, by its head. ConfigurationWatch reads the manifest outright when its proof has run out.

--- a/whinjunction-entry/src/main/java/io/whinjunction/entry/ConfigurationWatch.java
+++ b/whinjunction-entry/src/main/java/io/whinjunction/entry/ConfigurationWatch.java
@@ -37,11 +37,18 @@
 	}
 
 	/**
-	 * Waits for a newer manifest once.
+	 * Waits for a newer manifest once; where the proof of the one held has run out, asks
+	 * for it at once, since a watch is answered only when its time is over.
 	 * @return whether the platform answered
 	 */
 	boolean step() {
 		long askedAtMs = this.ticker.nowMs();
+		if (this.seenVersion > 0 && !this.freshness.mayServe(askedAtMs)) {
+			if (this.store.read(Manifest.KEY) instanceof Read.Found found) {
+				take(found, askedAtMs);
+			}
+			return this.freshness.mayServe(this.ticker.nowMs());
+		}
 		return switch (this.store.watch(Manifest.KEY, this.seenVersion, this.watchMs)) {
 			case Read.Found found -> {
 				take(found, askedAtMs);
--- a/whinjunction-entry/src/main/java/io/whinjunction/entry/Gate.java
+++ b/whinjunction-entry/src/main/java/io/whinjunction/entry/Gate.java
@@ -29,6 +29,9 @@
 	/** A read of the platform takes at most its default limit of 1 s. */
 	static final long LONGEST_PROOF_WAIT_MS = 1000;
 
+	/** A proof is had by one call, which takes some milliseconds. */
+	private static final long PROOF_LOOK_MS = 10;
+
 	private static final int RETRY_AFTER_S = 1;
 
 	private final ConfigurationHolder configuration;
@@ -107,11 +110,25 @@
 	}
 
 	/**
-	 * Where the data of a request that has begun may be now.
+	 * Where the data of a draft that has begun may be now. The failure it is there for:
+	 * an entry stood still until its proof ran out, gave up all its drafts when it ran
+	 * again, and had the next proof a few milliseconds later. A draft whose caller
+	 * already has a part waits for that proof; nothing is sent meanwhile, and what it
+	 * waits for is judged by the configuration of that time.
 	 * @param team the team
-	 * @return as {@link #placement}
+	 * @return as {@link #placement}, after at most {@link #LONGEST_PROOF_WAIT_MS}
 	 */
 	Placement awaitPlacement(String team) {
+		long endMs = this.ticker.nowMs() + LONGEST_PROOF_WAIT_MS;
+		try {
+			while (!this.freshness.mayServe(this.ticker.nowMs()) && this.ticker.nowMs() < endMs) {
+				this.ticker.sleepMs(PROOF_LOOK_MS);
+			}
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			return null;
+		}
 		return placement(team);
 	}
 
