--- a/whinjunction-router/src/main/java/io/whinjunction/router/StopAdmission.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/StopAdmission.java
@@ -70,12 +70,14 @@
 		boolean known = durations != null && durations.canTell(MOST_OUTLIVING);
 		double outliving = known ? durations.partOver(leftMs, inProgressMs) : -1;
 		boolean inTime = schedule.servesRequests(nowMs);
+		boolean endedInTime = candidate.longestMs() <= leftMs;
 		// What was seen may speak against an attempt, and be too little to speak for a
 		// late one.
-		boolean lateEnds = known && durations.canTell(mostOutliving) && leftMs >= LEAST_LEFT_MS;
-		boolean ends = candidate.longestMs() <= leftMs || outliving <= mostOutliving && (inTime || lateEnds);
-		boolean ratherCut = inTime || candidate.again() && candidate.repeatable();
-		boolean begins = ends || ratherCut && (candidate.resumed() || !others.suffice());
+		boolean knownWell = known && durations.canTell(mostOutliving) && leftMs >= LEAST_LEFT_MS;
+		boolean likelyEnds = (inTime || knownWell) && outliving <= mostOutliving;
+		boolean ratherCut = inTime || (candidate.again() && candidate.repeatable());
+		boolean hasNowhereElse = candidate.resumed() || !others.suffice();
+		boolean begins = endedInTime || likelyEnds || (ratherCut && hasNowhereElse);
 		return new Judgement(begins, schedule.ageMs(nowMs), leftMs, outliving, others);
 	}
 
