RunningTimes is in the core, for more than the router

Cause: whoever stops by a signal may get it late; only the router could date one back. Ruled out: a second copy in the entry. Change: moved with its test, public and synchronized; the longest pause is its owner's. The router's behaviour is the same.

--- a/whinjunction-router/src/main/java/io/whinjunction/router/RunningTimes.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/time/RunningTimes.java
@@ -1,4 +1,4 @@
-package io.whinjunction.router;
+package io.whinjunction.time;
 
 /**
  * When this process ran, as it noted itself, to date a signal that it got late.
@@ -10,15 +10,13 @@
  * process is known to have run before. On waking, the overdue note may come before the
  * signal is handled; so the last gap is remembered for a while.
  * <p>
- * All times are of the clock that counts suspensions. Confined to the event loop.
+ * All times are of one clock, the owner's; only a pause that this clock counts is seen: a
+ * {@link BootClock} counts a suspended machine too, a {@link Ticker} a stopped process
+ * only. Safe for all threads.
  */
-final class RunningTimes {
+public final class RunningTimes {
 
-	/**
-	 * The longest pause between two notes of a process that runs, in milliseconds: two
-	 * pauses between its looks at idle connections.
-	 */
-	static final long LONGEST_PAUSE_MS = 1000;
+	private final long longestPauseMs;
 
 	private long notedMs;
 
@@ -29,17 +27,20 @@
 	/**
 	 * The process was started.
 	 * @param nowMs the time
+	 * @param longestPauseMs the longest pause between two notes of a process that runs,
+	 * in milliseconds
 	 */
-	RunningTimes(long nowMs) {
+	public RunningTimes(long nowMs, long longestPauseMs) {
 		this.notedMs = nowMs;
+		this.longestPauseMs = longestPauseMs;
 	}
 
 	/**
 	 * The process runs.
 	 * @param nowMs the time
 	 */
-	void note(long nowMs) {
-		if (nowMs - this.notedMs > LONGEST_PAUSE_MS) {
+	public synchronized void note(long nowMs) {
+		if (nowMs - this.notedMs > this.longestPauseMs) {
 			this.gapFromMs = this.notedMs;
 			this.gapUntilMs = nowMs;
 		}
@@ -51,9 +52,9 @@
 	 * @param handledMs when it was handled
 	 * @return the last moment before a gap that ended just then, else when it was handled
 	 */
-	long earliestOf(long handledMs) {
+	public synchronized long earliestOf(long handledMs) {
 		note(handledMs);
-		return (handledMs - this.gapUntilMs <= LONGEST_PAUSE_MS) ? this.gapFromMs : handledMs;
+		return (handledMs - this.gapUntilMs <= this.longestPauseMs) ? this.gapFromMs : handledMs;
 	}
 
 }
--- a/whinjunction-router/src/test/java/io/whinjunction/router/RunningTimesTests.java
+++ b/whinjunction-core/src/test/java/io/whinjunction/time/RunningTimesTests.java
@@ -1,4 +1,4 @@
-package io.whinjunction.router;
+package io.whinjunction.time;
 
 import org.junit.jupiter.api.Test;
 
@@ -9,7 +9,7 @@
  */
 class RunningTimesTests {
 
-	private final RunningTimes times = new RunningTimes(0);
+	private final RunningTimes times = new RunningTimes(0, 1000);
 
 	@Test
 	void aSignalThatIsHandledByAProcessThatRunsIsDatedToThatMoment() {
--- a/whinjunction-router/src/main/java/io/whinjunction/router/Router.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/Router.java
@@ -32,6 +32,7 @@
 import io.whinjunction.routing.RoutingConfiguration;
 import io.whinjunction.time.BootClock;
 import io.whinjunction.time.Closer;
+import io.whinjunction.time.RunningTimes;
 import io.whinjunction.time.Ticker;
 
 /**
@@ -54,6 +55,12 @@
 	/** The pause between two looks at idle connections, in milliseconds. */
 	private static final long SWEEP_MS = 500;
 
+	/**
+	 * The longest pause between two notes of a process that runs, in milliseconds: two
+	 * pauses between its looks at idle connections.
+	 */
+	private static final long LONGEST_PAUSE_MS = 2 * SWEEP_MS;
+
 	/** The pause before another try to announce, in milliseconds. */
 	private static final long ANNOUNCE_RETRY_MS = 500;
 
@@ -135,7 +142,7 @@
 		this.dialect = ports.dialect();
 		this.metrics = ports.metrics();
 		this.boot = boot;
-		this.runningTimes = new RunningTimes(boot.nowMs());
+		this.runningTimes = new RunningTimes(boot.nowMs(), LONGEST_PAUSE_MS);
 		this.proof = new ConfigurationProof(settings.bounds().keysMs() - KEY_MARGIN_MS,
 				settings.bounds().configurationMs());
 		this.peers = new PeerTable(text(settings.peers()), RandomGenerator.getDefault());
