Tests: to when a signal is dated that an entry got in a suspension

Cause: an entry counts its notice and its drain limit from when it handles the signal; whoever waits for its end counts from the signal, and kills it with what it still serves. Change beside the tests: an entry takes its clock from its test.

--- a/whinjunction-core/src/test/java/io/whinjunction/time/RunningTimesTests.java
+++ b/whinjunction-core/src/test/java/io/whinjunction/time/RunningTimesTests.java
@@ -45,6 +45,18 @@
 		assertThat(this.times.earliestOf(20_400)).isEqualTo(20_400);
 	}
 
+	// Notes and signals are of different threads. The one with the signal is held up
+	// after
+	// its look at the clock; the other notes, and then the process is suspended. Dated to
+	// that note, the signal would have come after it was handled.
+	@Test
+	void noSignalIsDatedLaterThanItWasHandled() {
+		run(0, 10_500);
+		this.times.note(15_000);
+
+		assertThat(this.times.earliestOf(10_300)).isEqualTo(10_300);
+	}
+
 	private void run(long fromMs, long untilMs) {
 		for (long nowMs = fromMs; nowMs <= untilMs; nowMs += 500) {
 			this.times.note(nowMs);
--- a/whinjunction-entry/src/main/java/io/whinjunction/entry/Entry.java
+++ b/whinjunction-entry/src/main/java/io/whinjunction/entry/Entry.java
@@ -69,7 +69,7 @@
 
 	private final EntrySettings settings;
 
-	private final Ticker ticker = Ticker.system();
+	private final Ticker ticker;
 
 	private final Closer closer = new Closer();
 
@@ -90,7 +90,12 @@
 	 * @throws IllegalStateException where a port cannot be bound
 	 */
 	public Entry(EntrySettings settings) throws SSLException {
+		this(settings, Ticker.system());
+	}
+
+	Entry(EntrySettings settings, Ticker ticker) throws SSLException {
 		this.settings = settings;
+		this.ticker = ticker;
 		RandomGenerator random = RandomGenerator.of("L64X128MixRandom");
 		ConfigurationHolder configuration = new ConfigurationHolder();
 		Freshness freshness = new Freshness(settings.timing().confirmationMs());
--- a/whinjunction-entry/src/test/java/io/whinjunction/entry/LocalSystem.java
+++ b/whinjunction-entry/src/test/java/io/whinjunction/entry/LocalSystem.java
@@ -27,6 +27,7 @@
 import io.whinjunction.standins.FreePorts;
 import io.whinjunction.standins.PlatformServer;
 import io.whinjunction.time.Closer;
+import io.whinjunction.time.Ticker;
 import tools.jackson.databind.node.ObjectNode;
 import tools.jackson.dataformat.toml.TomlMapper;
 
@@ -66,6 +67,8 @@
 
 	private EntrySettings.Tls tls;
 
+	private Ticker ticker = Ticker.system();
+
 	private int noticeMs;
 
 	private int drainMs = 60_000;
@@ -108,6 +111,11 @@
 		return this;
 	}
 
+	LocalSystem ticker(Ticker newTicker) {
+		this.ticker = newTicker;
+		return this;
+	}
+
 	LocalSystem entries(int count) {
 		for (int i = 0; i < count; i++) {
 			this.peerPorts.add(FreePorts.next());
@@ -133,7 +141,7 @@
 				0, 0, this.peerPorts.get(index), platformAddress, seeds, "", this.limits,
 				new EntrySettings.Timing(1000, 500, 300, 100, 100, 2000, 1000, this.noticeMs, this.drainMs), this.tls);
 		try {
-			Entry entry = new Entry(settings);
+			Entry entry = new Entry(settings, this.ticker);
 			this.entries.add(entry);
 			return entry;
 		}
--- a/whinjunction-entry/src/test/java/io/whinjunction/entry/StoppingEntryTests.java
+++ b/whinjunction-entry/src/test/java/io/whinjunction/entry/StoppingEntryTests.java
@@ -184,19 +184,66 @@
 		}
 	}
 
+	// The signal comes while the process is suspended, 50 s before it goes on. The notice
+	// of 60 s runs since then: counted from the moment of waking, the entry would end 50
+	// s
+	// after whoever waits for it, and be killed with all it serves. The suspension of
+	// some
+	// time before has nothing to do with the signal.
+	@Test
+	void theNoticeOfASignalThatCameInASuspensionIsCountedFromBefore() throws InterruptedException {
+		SuspendableTicker ticker = new SuspendableTicker();
+		try (LocalSystem system = new LocalSystem().ticker(ticker).stopping(60_000, 1000).entries(1)) {
+			ticker.leap(20_000);
+			LocalSystem.await(ticker::noted);
+			ticker.leapOfSignal(50_000);
+			system.entry(0).stop();
+			assertThat(ticker.sleptMs()).isPositive().isLessThanOrEqualTo(10_000);
+		}
+	}
+
+	// The same, and notice and drain limit were over before the process went on, with an
+	// answer still on its way to a slow reader. It is ended now, not a minute later.
+	@Test
+	void aStopWhoseTimeWasOverBeforeItWasHandledWaitsForNothing() throws Exception {
+		SuspendableTicker ticker = new SuspendableTicker();
+		try (LocalSystem system = new LocalSystem().ticker(ticker)
+			.engines(0)
+			.stopping(10_000, 60_000)
+			.entries(1)
+			.configure();
+				HttpServer large = HttpServer.start(HttpServerSettings.plain("127.0.0.1", 0),
+						(exchange) -> exchange.reply(new Reply(200, List.of(), new byte[LARGE_BYTES])));
+				Socket socket = new Socket()) {
+			offerInPlaceOfBookings(system, large);
+			socket.setReceiveBufferSize(4096);
+			socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), system.entry(0).callerPort()));
+			send(socket, "GET /services/booking-api/large HTTP/1.1\r\nhost: x\r\nauthorization: Bearer key-1\r\n\r\n");
+			assertThat(socket.getInputStream().readNBytes(8)).asString().isEqualTo("HTTP/1.1");
+			CompletableFuture<Integer> cutOff = later(() -> {
+				ticker.leapOfSignal(75_000);
+				return stop(system.entry(0));
+			});
+			assertThat(cutOff.get(30, TimeUnit.SECONDS)).isOne();
+			assertThat(ticker.sleptMs()).isZero();
+		}
+	}
+
 	private static CompletableFuture<Integer> stop(LocalSystem system) {
-		CompletableFuture<Integer> cutOff = later(() -> {
-			try {
-				return system.entry(0).stop();
-			}
-			catch (InterruptedException ex) {
-				throw new IllegalStateException(ex);
-			}
-		});
+		CompletableFuture<Integer> cutOff = later(() -> stop(system.entry(0)));
 		LocalSystem.await(() -> HttpProbe.get(system.entry(0).operatorPort(), "/readyz").status() != 200);
 		return cutOff;
 	}
 
+	private static int stop(Entry entry) {
+		try {
+			return entry.stop();
+		}
+		catch (InterruptedException ex) {
+			throw new IllegalStateException(ex);
+		}
+	}
+
 	private static <T> CompletableFuture<T> later(Supplier<T> task) {
 		CompletableFuture<T> result = new CompletableFuture<>();
 		Thread.startVirtualThread(() -> {
