An entry counts its stop from when the signal may have come

Cause: notice and drain limit began when the signal was handled, after the process went on; it took requests and ended later than whoever waits for it expects, by the whole suspension. Ruled out: a clock that counts suspended machines: the entry has none; a Ticker sees a stopped or starved process, and the class says so. Change: the entry notes twice a second that it runs and dates its stop by RunningTimes; a notice that was over is none; the log line tells how late the signal was handled. A signal is never dated later than it was handled, where another thread has noted meanwhile.

--- a/whinjunction-core/src/main/java/io/whinjunction/time/RunningTimes.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/time/RunningTimes.java
@@ -10,6 +10,9 @@
  * process is known to have run before. On waking, the overdue note may come before the
  * signal is handled; so the last gap is remembered for a while.
  * <p>
+ * Invariant: no signal is dated later than it was handled, also where another thread
+ * noted a later moment before.
+ * <p>
  * All times are of one clock, the owner's; only a pause that this clock counts is seen: a
  * {@link BootClock} counts a suspended machine too, a {@link Ticker} a stopped process
  * only. Safe for all threads.
@@ -54,7 +57,7 @@
 	 */
 	public synchronized long earliestOf(long handledMs) {
 		note(handledMs);
-		return (handledMs - this.gapUntilMs <= this.longestPauseMs) ? this.gapFromMs : handledMs;
+		return (handledMs - this.gapUntilMs <= this.longestPauseMs) ? Math.min(this.gapFromMs, handledMs) : handledMs;
 	}
 
 }
--- a/whinjunction-entry/src/main/java/io/whinjunction/entry/Entry.java
+++ b/whinjunction-entry/src/main/java/io/whinjunction/entry/Entry.java
@@ -35,6 +35,7 @@
 import io.whinjunction.platform.ObjectStore;
 import io.whinjunction.session.RetryBudget;
 import io.whinjunction.time.Closer;
+import io.whinjunction.time.RunningTimes;
 import io.whinjunction.time.Ticker;
 import io.whinjunction.tls.TlsFiles;
 import io.whinjunction.trace.Tracing;
@@ -43,7 +44,9 @@
  * One running entry: everything between callers and upstreams.
  * <p>
  * Invariant: {@link #stop()} cuts off no request in progress unless the operator's limit
- * is reached, which is logged. Safe for all threads.
+ * is reached, which is logged. The stop counts from when its signal may have come, by
+ * {@link Ticker#system()}: a stopped or starved process is seen, a suspended machine is
+ * not. Safe for all threads.
  */
 public final class Entry implements AutoCloseable {
 
@@ -67,10 +70,24 @@
 	/** After a failed call a loop waits a little, so that an outage is not hammered. */
 	private static final long PAUSE_MS = 200;
 
+	/**
+	 * The pause between two notes that the process runs, in milliseconds. A late signal
+	 * may be dated too early by so much, which is half of the default notice.
+	 */
+	private static final long NOTE_MS = 500;
+
+	/**
+	 * The longest pause between two notes of a process that runs, in milliseconds: a note
+	 * may be as late as its whole pause.
+	 */
+	private static final long LONGEST_PAUSE_MS = 2 * NOTE_MS;
+
 	private final EntrySettings settings;
 
 	private final Ticker ticker;
 
+	private final RunningTimes runningTimes;
+
 	private final Closer closer = new Closer();
 
 	private final InProgress inProgress = new InProgress();
@@ -122,6 +139,7 @@
 		PeerNode node = new PeerNode(new PeerNode.NodeState(members, configuration, freshness, upstreams, limits),
 				transport, this.ticker, random);
 		this.closer.register(PeerServer.start(transport, settings.host(), settings.peerPort(), node));
+		this.runningTimes = new RunningTimes(ticker.nowMs(), LONGEST_PAUSE_MS);
 		loops(new ConfigurationWatch(store, configuration, freshness, this.ticker, settings.timing().watchMs()),
 				new UpstreamWatch(store, engines, configuration, upstreams), node);
 		this.callers = this.closer.register(HttpServer.start(
@@ -153,19 +171,26 @@
 	/**
 	 * Stops gracefully: not ready at once, new requests are still taken for a notice,
 	 * then refused; what is in progress ends; at the drain limit the rest is told how far
-	 * it came; then everything is closed.
+	 * it came; then everything is closed. A notice that was over before the stop was
+	 * handled is none: new requests are refused at once.
 	 * @return how many requests were cut off because the operator's limit was reached
 	 * @throws InterruptedException where the thread is interrupted
 	 */
 	public int stop() throws InterruptedException {
-		logger.atInfo().log("entry %s is stopping, %d in progress", this.settings.id(), this.inProgress.count());
-		// Counted once, from the signal: whoever waits for the end does not wait longer
-		// for a process that stood still in its notice.
-		long endsAtMs = this.ticker.nowMs() + this.settings.timing().noticeMs() + this.settings.timing().drainMs();
+		// Counted once, and from when the signal may have come: whoever waits for the end
+		// does not wait longer for a process that stood still before its stop or in its
+		// notice.
+		long handledMs = this.ticker.nowMs();
+		long signalledMs = this.runningTimes.earliestOf(handledMs);
+		long refusesAtMs = signalledMs + this.settings.timing().noticeMs();
+		long endsAtMs = refusesAtMs + this.settings.timing().drainMs();
+		logger.atInfo()
+			.log("entry %s is stopping, %d in progress, handled %d ms late", this.settings.id(),
+					this.inProgress.count(), handledMs - signalledMs);
 		this.parts.gate().endsAt(endsAtMs);
 		this.callers.endConnections();
 		this.parts.members().leave(this.ticker.nowMs());
-		this.parts.gate().stopAfter(this.settings.timing().noticeMs());
+		this.parts.gate().stopAfter(refusesAtMs - this.ticker.nowMs());
 		this.callers.refuseArriving();
 		int left = this.inProgress.awaitNone(endsAtMs - this.ticker.nowMs());
 		if (left > 0) {
@@ -186,6 +211,10 @@
 	}
 
 	private void loops(ConfigurationWatch configurationWatch, UpstreamWatch upstreamWatch, PeerNode node) {
+		loop("running", NOTE_MS, () -> {
+			this.runningTimes.note(this.ticker.nowMs());
+			return true;
+		});
 		loop("configuration", 0, configurationWatch::step);
 		loop("upstreams", this.settings.timing().instancesMs(), upstreamWatch::step);
 		loop("gossip", this.settings.timing().gossipMs(), () -> {
--- a/whinjunction-entry/src/main/java/io/whinjunction/entry/Gate.java
+++ b/whinjunction-entry/src/main/java/io/whinjunction/entry/Gate.java
@@ -84,7 +84,7 @@
 	 * words, for as long as a machine is starved, and whoever saw the first one would
 	 * have a request taken that belongs to another entry.
 	 * @param noticeMs how long requests are still taken, so that a balancer can see that
-	 * this entry is not ready
+	 * this entry is not ready; none where it is negative
 	 * @throws InterruptedException where the thread is interrupted
 	 */
 	void stopAfter(long noticeMs) throws InterruptedException {
