The permission is looked up after the proof, not before it

Gate.placement looked up a team's permission and asked for the proof after that. Where the proof had run out, the next one could come between the two: a proof of a tightened revision let the permission of the old one pass, and a step was sent where the data must not be any more. The order is turned round, as check has it.

--- a/whinjunction-entry/src/main/java/io/whinjunction/entry/Gate.java
+++ b/whinjunction-entry/src/main/java/io/whinjunction/entry/Gate.java
@@ -123,9 +123,13 @@
 	 * have its data any more, or the configuration cannot be confirmed
 	 */
 	Placement placement(String team) {
+		// The proof is asked for first: one that comes between the two looks may be that
+		// of a tightened revision, and proves nothing about a view taken before it.
+		if (!this.freshness.mayServe(this.ticker.nowMs())) {
+			return null;
+		}
 		Placement placement = view().placements.get(team);
-		boolean here = placement != null && placement.permits(this.failureDomain);
-		return (here && this.freshness.mayServe(this.ticker.nowMs())) ? placement : null;
+		return (placement != null && placement.permits(this.failureDomain)) ? placement : null;
 	}
 
 	static Refusal stopping() {
