--- a/whinjunction-entry/src/test/java/io/whinjunction/promises/LeaseTests.java
+++ b/whinjunction-entry/src/test/java/io/whinjunction/promises/LeaseTests.java
@@ -3,12 +3,14 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import java.util.concurrent.atomic.AtomicBoolean;
 
 import io.whinjunction.configuration.LayerRange;
 import io.whinjunction.engine.EngineClient.LoadOrder;
 import io.whinjunction.engine.EngineClient.Step;
 import io.whinjunction.engine.EngineClient.StepResult;
 import io.whinjunction.lease.LeaseKeeper;
+import io.whinjunction.platform.ObjectStore;
 import io.whinjunction.standins.FakeEngine;
 import io.whinjunction.standins.FakeObjectStore;
 import io.whinjunction.standins.FakeObjectStore.Fault;
@@ -92,6 +94,30 @@
 		assertThat(b.holds()).isTrue();
 	}
 
+	// Two act at once. A candidate's read takes long; the holder renews meanwhile, and
+	// the
+	// read brings that renewal. Dated from when the read was asked for, the lease seems
+	// unchanged for longer than it is, and the candidate takes over while the holder
+	// still acts.
+	@Test
+	void aReadThatTookLongDoesNotMakeTheLeaseOlder() {
+		LeaseKeeper a = keeper("a");
+		a.step();
+		AtomicBoolean slow = new AtomicBoolean(true);
+		LeaseKeeper b = new LeaseKeeper(new WatchedReads(this.store, () -> {
+			if (slow.getAndSet(false)) {
+				this.ticker.advance(TTL_MS / 2);
+				a.step();
+			}
+		}), "lease", "b", TTL_MS, this.ticker, () -> "b" + this.nonces++);
+		b.step();
+		assertThat(a.holds()).isTrue();
+		this.ticker.advance(TTL_MS / 2);
+		b.step();
+		assertThat(a.holds()).isTrue();
+		assertThat(b.holds()).isFalse();
+	}
+
 	// The old holder is paused between its check and its order; the new one has ordered
 	// the engine already. The engine checks fencing numbers: the late order is refused.
 	@Test
@@ -123,4 +149,42 @@
 		return new LeaseKeeper(this.store, "lease", id, TTL_MS, this.ticker, () -> id + this.nonces++);
 	}
 
+	/**
+	 * Runs something before each read is answered.
+	 */
+	private record WatchedReads(ObjectStore store, Runnable beforeRead) implements ObjectStore {
+
+		@Override
+		public Read read(String key) {
+			this.beforeRead.run();
+			return this.store.read(key);
+		}
+
+		@Override
+		public Write write(String key, String value, long expectedVersion) {
+			return this.store.write(key, value, expectedVersion);
+		}
+
+		@Override
+		public Listing list(String prefix) {
+			return this.store.list(prefix);
+		}
+
+		@Override
+		public Write remove(String key, long expectedVersion) {
+			return this.store.remove(key, expectedVersion);
+		}
+
+		@Override
+		public Read watch(String key, long afterVersion, long timeoutMs) {
+			return this.store.watch(key, afterVersion, timeoutMs);
+		}
+
+		@Override
+		public Instances instances() {
+			return this.store.instances();
+		}
+
+	}
+
 }
