A lease's age counts from the end of the read that brought it

A candidate dated an unchanged lease from when its read was asked for. A read that took longer than the holder's margin (2 s of 5 s) could bring a renewal written at its end, and the candidate took over while the holder still acted. Dated from the read's end, the renewal is always older than the date. The router's leadership had the same date, and has the same mend.

--- a/whinjunction-core/src/main/java/io/whinjunction/lease/LeaseKeeper.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/lease/LeaseKeeper.java
@@ -94,7 +94,7 @@
 
 	private void consider(Read.Found found, long startMs) {
 		Record record = Record.parse(found.value());
-		this.term.seen(record.holder(), record.fencing(), found.version(), startMs)
+		this.term.seen(record.holder(), record.fencing(), found.version(), this.ticker.nowMs())
 			.ifPresent((claim) -> write(claim, startMs));
 	}
 
--- a/whinjunction-core/src/main/java/io/whinjunction/lease/LeaseTerm.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/lease/LeaseTerm.java
@@ -56,11 +56,13 @@
 	}
 
 	/**
-	 * The lease was read.
+	 * The lease was read. A read may take long, and what it brings may have been written
+	 * at its very end: dated from its beginning, the lease would seem unchanged for
+	 * longer than it is, and two could hold it.
 	 * @param seenHolder who holds it; empty where it was given up
 	 * @param seenFencing its fencing number
 	 * @param version its version
-	 * @param nowMs when it was asked for
+	 * @param nowMs when the read had ended
 	 * @return the claim to write, or empty where another one holds it
 	 */
 	public Optional<Claim> seen(String seenHolder, long seenFencing, long version, long nowMs) {
--- a/whinjunction-router/src/main/java/io/whinjunction/router/Leadership.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/Leadership.java
@@ -114,15 +114,15 @@
 			again(LOOK_MS);
 		}
 		else {
-			this.store.readLease((reply) -> take(reply, nowMs));
+			this.store.readLease(this::take);
 		}
 	}
 
-	private void take(StoreReply<LeaseObject> reply, long askedAtMs) {
+	private void take(StoreReply<LeaseObject> reply) {
 		switch (reply) {
 			case StoreReply.Found<LeaseObject> found -> {
 				LeaseObject lease = found.value();
-				this.term.seen(lease.holder(), lease.fencing(), lease.revision(), askedAtMs)
+				this.term.seen(lease.holder(), lease.fencing(), lease.revision(), this.ticker.nowMs())
 					.ifPresentOrElse((claim) -> write(claim, this.ticker.nowMs()), () -> again(LOOK_MS));
 			}
 			case StoreReply.Absent<LeaseObject> ignored -> write(this.term.absent(), this.ticker.nowMs());
