--- /dev/null
+++ b/whinjunction-entry/src/test/java/io/whinjunction/entry/LastRefusalTests.java
@@ -0,0 +1,90 @@
+package io.whinjunction.entry;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Whether the last refusals of an entry that stops can be read.
+ */
+class LastRefusalTests {
+
+	// A caller still sends its body when the notice ends; nothing else is in progress.
+	// The refusal is written, and the entry closes everything at once: the rest of the
+	// body resets the connection, and the caller sees that in place of the refusal.
+	@Test
+	void aRefusalIsReadAlsoWhereNothingElseKeepsTheEntryUp() throws Exception {
+		try (LocalSystem system = new LocalSystem().engines(0).stopping(500, 5000).entries(1).configure();
+				Socket socket = new Socket(InetAddress.getLoopbackAddress(), system.entry(0).callerPort())) {
+			socket.setSoTimeout(20_000);
+			send(socket, "POST /services/booking-api/bookings HTTP/1.1\r\nhost: x\r\n"
+					+ "authorization: Bearer key-1\r\ncontent-length: 10000\r\n\r\n");
+			CompletableFuture.runAsync(() -> stop(system));
+			for (int i = 0; i < 40; i++) {
+				send(socket, "x".repeat(100));
+				Thread.sleep(20);
+			}
+			assertThat(new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1))
+				.startsWith("HTTP/1.1 503")
+				.contains("not-run");
+		}
+	}
+
+	// A caller asks whether it may send a body ("expect: 100-continue"), is refused since
+	// the body is too large, and keeps its connection. The entry stops, and writes a
+	// second answer to the same request; a client takes it as that of its next one.
+	@Test
+	void aRequestThatWasRefusedBeforeItsBodyIsNotRefusedAgain() throws Exception {
+		try (LocalSystem system = new LocalSystem().engines(0).stopping(500, 1000).entries(1).configure();
+				Socket socket = new Socket(InetAddress.getLoopbackAddress(), system.entry(0).callerPort())) {
+			socket.setSoTimeout(20_000);
+			send(socket, "POST /services/booking-api/bookings HTTP/1.1\r\nhost: x\r\n"
+					+ "authorization: Bearer key-1\r\nexpect: 100-continue\r\n" + "content-length: 100000000\r\n\r\n");
+			String begin = new String(socket.getInputStream().readNBytes(12), StandardCharsets.ISO_8859_1);
+			assertThat(begin).isEqualTo("HTTP/1.1 413");
+			system.entry(0).stop();
+			String all = begin + new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+			assertThat(all.split("HTTP/1.1", -1)).as("answers in %s", all).hasSize(2);
+			assertThat(all).contains("not-run");
+		}
+	}
+
+	// A draft streams, and its caller sends a next request behind it that asks whether it
+	// may send its body. What it is told must not be written into the running answer.
+	@Test
+	void aRunningAnswerIsNotSpoiledByAnExpectationBehindIt() throws Exception {
+		try (LocalSystem system = new LocalSystem().engines(5).entries(1).configure();
+				Socket socket = new Socket(InetAddress.getLoopbackAddress(), system.entry(0).callerPort())) {
+			socket.setSoTimeout(20_000);
+			String body = HttpProbe.draftBody("hello", 40, true);
+			String head = "POST /v1/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer key-1\r\n";
+			send(socket, head + "content-length: " + body.length() + "\r\n\r\n" + body);
+			String begin = new String(socket.getInputStream().readNBytes(8), StandardCharsets.ISO_8859_1);
+			send(socket, head + "connection: close\r\nexpect: 100-continue\r\ncontent-length: " + body.length()
+					+ "\r\n\r\n" + body);
+			String all = begin + new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+			assertThat(all.split("\\[DONE]", -1)).as("answers in %s", all).hasSize(3);
+		}
+	}
+
+	private static void stop(LocalSystem system) {
+		try {
+			system.entry(0).stop();
+		}
+		catch (InterruptedException ex) {
+			throw new IllegalStateException(ex);
+		}
+	}
+
+	private static void send(Socket socket, String text) throws IOException {
+		socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+		socket.getOutputStream().flush();
+	}
+
+}
