A stop waits until its last refusals can be read

A caller that still sent its body when the notice ended was refused, and where nothing else was in progress the entry closed everything at once: the rest of the body reset the connection before the refusal was read. A server that closes now waits, for at most LINGER_MS, for connections that only linger.

--- a/whinjunction-core/src/main/java/io/whinjunction/http/server/ExchangeHandler.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/http/server/ExchangeHandler.java
@@ -31,7 +31,7 @@
 	 * How long a connection outlives its last answer while its caller still sends, in
 	 * milliseconds: some round trips, in which a caller reads the answer and closes.
 	 */
-	private static final long LINGER_MS = 1000;
+	static final long LINGER_MS = 1000;
 
 	private final Handler handler;
 
@@ -177,6 +177,7 @@
 		}
 		// The rest of the request is read and dropped. It would reset a connection that
 		// is closed at once, and the caller would see that in place of the answer.
+		this.connections.lingers(context.channel());
 		context.executor().schedule(() -> context.close(), LINGER_MS, TimeUnit.MILLISECONDS);
 	}
 
--- a/whinjunction-core/src/main/java/io/whinjunction/http/server/HttpServer.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/http/server/HttpServer.java
@@ -99,6 +99,9 @@
 	@Override
 	public void close() {
 		stopAccepting();
+		// Closed at once, a connection whose caller still sends is reset, and the caller
+		// sees that in place of its refusal.
+		this.connections.awaitLingering(ExchangeHandler.LINGER_MS);
 		this.group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
 	}
 
--- a/whinjunction-core/src/main/java/io/whinjunction/http/server/OpenConnections.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/http/server/OpenConnections.java
@@ -20,12 +20,27 @@
 
 	private final ChannelGroup channels = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
 
+	/** Whose caller still sends, and must have time to read its last answer. */
+	private final ChannelGroup lingering = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+
 	private volatile boolean ending;
 
 	void opened(Channel channel) {
 		this.channels.add(channel);
 	}
 
+	void lingers(Channel channel) {
+		this.lingering.add(channel);
+	}
+
+	/**
+	 * Waits until the connections that only linger are closed.
+	 * @param limitMs how long at most
+	 */
+	void awaitLingering(long limitMs) {
+		this.lingering.newCloseFuture().awaitUninterruptibly(limitMs);
+	}
+
 	void end() {
 		this.ending = true;
 	}
