An HTTP/2 refusal before the body's end resets its stream without an error

The stream was closed after the answer, and reset as cancelled; callers may take that for a failure of the answer and lose "not run". RFC 9113, 8.1 wants NO_ERROR from a server that needs no more of a body.

--- a/whinjunction-core/src/main/java/io/whinjunction/http/server/ExchangeHandler.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/http/server/ExchangeHandler.java
@@ -11,6 +11,8 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http2.DefaultHttp2ResetFrame;
+import io.netty.handler.codec.http2.Http2Error;
 
 /**
  * Hands whole requests to the handler, one at a time per connection, on virtual threads.
@@ -171,10 +173,18 @@
 			this.connections.leave(context.channel());
 		}
 		ChannelFuture written = context.writeAndFlush(Responses.whole(answer.reply(), true));
-		if (this.http2 || !this.guard.arriving()) {
+		if (!this.guard.arriving()) {
 			written.addListener(ChannelFutureListener.CLOSE);
 			return;
 		}
+		if (this.http2) {
+			// Closed alone, the stream would be reset as cancelled, which callers may
+			// take
+			// for a failure of the answer.
+			written.addListener((sent) -> context.writeAndFlush(new DefaultHttp2ResetFrame(Http2Error.NO_ERROR))
+				.addListener(ChannelFutureListener.CLOSE));
+			return;
+		}
 		// The rest of the request is read and dropped. It would reset a connection that
 		// is closed at once, and the caller would see that in place of the answer.
 		this.connections.lingers(context.channel());
