What a caller is told of its expectation keeps the order of answers

For a request with 'expect: 100-continue' the library's aggregator wrote its 100, or a bare 413, past the order of answers: a 100 behind a streaming answer broke that one off, and after the 413 the request counted as still arriving and was refused once more.

--- a/whinjunction-core/src/main/java/io/whinjunction/http/server/ConnectionInitializer.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/http/server/ConnectionInitializer.java
@@ -87,7 +87,7 @@
 
 	private void addCommon(ChannelPipeline pipeline, SlowRequestGuard guard, boolean http2) {
 		pipeline.addLast(new HeadGuard(this.handler));
-		pipeline.addLast(new BodyAggregator(this.settings.maxBodyBytes()));
+		pipeline.addLast(new BodyAggregator(this.settings.maxBodyBytes(), guard));
 		pipeline.addLast(new ExchangeHandler(this.handler, guard, this.connections, http2));
 		this.connections.opened(pipeline.channel());
 	}
--- a/whinjunction-core/src/main/java/io/whinjunction/http/server/SlowRequestGuard.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/http/server/SlowRequestGuard.java
@@ -61,6 +61,14 @@
 		return this.timer != null;
 	}
 
+	/**
+	 * Whether a request that is whole has not been answered.
+	 * @return {@code false} while the next answer would be that of the next request
+	 */
+	boolean busy() {
+		return this.busy;
+	}
+
 	/**
 	 * The next request may come.
 	 */
