The request's log line holds no engine's own text

The line names the stages that failed, and held up to 100 characters of an engine's refusal; one that quotes its input put a caller's prompt there. The line has the kind of the end now, the decision log the text as before.

--- a/whinjunction-entry/src/main/java/io/whinjunction/entry/RequestRecord.java
+++ b/whinjunction-entry/src/main/java/io/whinjunction/entry/RequestRecord.java
@@ -23,9 +23,6 @@
 	/** Bounds the line; the decision log holds all stages. */
 	private static final int MOST_FAILED_LOGGED = 16;
 
-	/** An engine's refusal is its own text, of any length. */
-	private static final int MOST_REASON_CHARS = 100;
-
 	private final EntryParts parts;
 
 	private final String requestId;
@@ -36,7 +33,7 @@
 
 	private final ArrayNode hops = Json.MAPPER.createArrayNode();
 
-	/** The stages that failed, with the reason. */
+	/** The stages that failed, with the kind of their end. */
 	private String failed = "";
 
 	private String team = "none";
@@ -88,7 +85,7 @@
 		this.failed = taken.stream()
 			.filter((hop) -> !hop.end().equals("ok"))
 			.limit(MOST_FAILED_LOGGED)
-			.map((hop) -> hop.upstream() + " after " + hop.steps() + " steps: " + reason(hop))
+			.map((hop) -> hop.upstream() + " after " + hop.steps() + " steps: " + kind(hop.end()))
 			.collect(Collectors.joining("; "));
 	}
 
@@ -122,9 +119,15 @@
 					outcome.headerValue(), code, tookMs, this.hops.size(), this.failed);
 	}
 
-	private static String reason(Hop hop) {
-		String reason = hop.end().replace('"', '\'').replaceAll("\\R", " ");
-		return reason.substring(0, Math.min(MOST_REASON_CHARS, reason.length()));
+	/**
+	 * What of an end may be logged. An engine's refusal is its own text and may quote the
+	 * caller's prompt, which the line must not hold; the decision log has it.
+	 * @param end a hop's end: the kind, where a text follows with a colon between
+	 * @return the kind
+	 */
+	static String kind(String end) {
+		int colon = end.indexOf(':');
+		return (colon < 0) ? end : end.substring(0, colon);
 	}
 
 }
