--- a/whinjunction-entry/src/test/java/io/whinjunction/promises/EachLayerOnceTests.java
+++ b/whinjunction-entry/src/test/java/io/whinjunction/promises/EachLayerOnceTests.java
@@ -5,6 +5,8 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Supplier;
 
 import io.whinjunction.configuration.Configuration;
 import io.whinjunction.configuration.LayerRange;
@@ -130,6 +132,19 @@
 		assertThat(world.engines.stepsRun()).isEqualTo(leavesAfter * MODEL.ranges().size());
 	}
 
+	// The permission ends in the middle of a draft: each question may be a wait for the
+	// next proof, and a second one holds the caller for twice the time that it may.
+	@Test
+	void aDraftWhoseDataMayBeNowhereAsksForAPermissionNoMore() {
+		World world = new World(1, 0);
+		AtomicInteger asked = new AtomicInteger();
+		world.placement = () -> (asked.incrementAndGet() <= 3) ? PLACEMENT : null;
+		DraftResult result = world.draft("r", "a", new Collector(Integer.MAX_VALUE));
+		assertThat(result.outcome()).isInstanceOf(Outcome.Unknown.class);
+		assertThat(result.tokens()).hasSize(2);
+		assertThat(asked).hasValue(4);
+	}
+
 	private static final class World {
 
 		private final VirtualTicker ticker = new VirtualTicker();
@@ -140,6 +155,8 @@
 
 		private final PipelineChooser chooser;
 
+		private Supplier<Placement> placement = () -> PLACEMENT;
+
 		World(int seed, int faultPercent) {
 			Random random = new Random(seed);
 			this.engines = new FaultyEngines(this.ticker, random, faultPercent);
@@ -162,7 +179,7 @@
 		}
 
 		DraftResult draft(String id, String prompt, TokenSink sink, long deadlineMs) {
-			DraftRequest request = new DraftRequest(id, MODEL, () -> PLACEMENT, prompt, TOKENS,
+			DraftRequest request = new DraftRequest(id, MODEL, this.placement, prompt, TOKENS,
 					this.ticker.nowMs() + deadlineMs);
 			return new DraftSession(request, this.chooser, this.table, this.engines, new RetryBudget(0.1, 20),
 					this.ticker)
