Only a draft that has begun waits for a proof, once and no longer than it runs

The wait for the next proof was handed to a draft as its only way to ask. An admitted draft of which nothing was sent waited for a second where it could say "not run" at once; a running one waited twice; and neither its deadline, nor its caller's leaving, nor the drain limit ended the wait. A draft now asks without a wait until its first step is sent, keeps the answer of a wait, and looks at those three during and after it.

--- a/whinjunction-core/src/main/java/io/whinjunction/session/DraftSession.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/session/DraftSession.java
@@ -90,8 +90,8 @@
 	}
 
 	private Outcome attempts(TokenSink sink) {
+		this.placement = this.request.placement().get();
 		while (true) {
-			this.placement = this.request.placement().get();
 			if (this.placement == null) {
 				return givenUp(Code.CONFIGURATION_UNCONFIRMED,
 						"Where the data may be has changed, or is not known any more.");
@@ -117,6 +117,7 @@
 				}
 				case AttemptEnd.RuleChanged ignored -> {
 					// Goes on where the data may be now, or ends; no engine is to blame.
+					// The answer is kept: another question might be a second wait.
 				}
 				case AttemptEnd.StageFailed ignored -> {
 					if (late()) {
@@ -125,6 +126,7 @@
 					if (!this.budget.tryRetry()) {
 						return givenUp(Code.UPSTREAM_FAILED, "A stage failed and the budget for retries is used up.");
 					}
+					this.placement = permission(sink);
 				}
 			}
 		}
@@ -168,6 +170,8 @@
 		inputs.add(this.request.prompt());
 		inputs.addAll(this.tokens);
 		while (this.tokens.size() < this.request.maxTokens()) {
+			// First, since the answer may be waited for.
+			boolean permitted = stillPermitted(pipeline, sink);
 			if (sink.cancelled()) {
 				return new AttemptEnd.CallerGone();
 			}
@@ -177,7 +181,7 @@
 			if (sink.stopping()) {
 				return new AttemptEnd.Stopping();
 			}
-			if (!stillPermitted(pipeline)) {
+			if (!permitted) {
 				return new AttemptEnd.RuleChanged();
 			}
 			String token = token(pipeline, recorders, position, inputs);
@@ -195,16 +199,19 @@
 
 	// A place rule may be tightened while a long draft runs; it is in force for the next
 	// token, not only for the next draft.
-	private boolean stillPermitted(Pipeline pipeline) {
-		Placement now = this.request.placement().get();
-		if (now == this.placement) {
-			return true;
-		}
-		if (now == null || !pipeline.stages().stream().allMatch((stage) -> now.permits(stage.failureDomain()))) {
-			return false;
+	private boolean stillPermitted(Pipeline pipeline, TokenSink sink) {
+		Placement before = this.placement;
+		this.placement = permission(sink);
+		return this.placement == before || (this.placement != null
+				&& pipeline.stages().stream().allMatch((stage) -> this.placement.permits(stage.failureDomain())));
+	}
+
+	// A draft of which nothing was sent doesn't wait: it can be told "not run" at once.
+	private Placement permission(TokenSink sink) {
+		if (this.touched.isEmpty()) {
+			return this.request.placement().get();
 		}
-		this.placement = now;
-		return true;
+		return this.request.awaited().apply(() -> sink.cancelled() || late() || sink.stopping());
 	}
 
 	private String token(Pipeline pipeline, List<HopRecorder> recorders, int position, List<String> inputs) {
--- a/whinjunction-entry/src/main/java/io/whinjunction/entry/DraftHandler.java
+++ b/whinjunction-entry/src/main/java/io/whinjunction/entry/DraftHandler.java
@@ -69,7 +69,8 @@
 	private Outcome run(Exchange exchange, RequestRecord record, Gate.Verdict.Passed passed, Service.Model model,
 			Writer writer) {
 		DraftRequest request = new DraftRequest(record.requestId(), model,
-				() -> this.parts.gate().awaitPlacement(passed.team().name()), writer.body.prompt(),
+				() -> this.parts.gate().placement(passed.team().name()),
+				(over) -> this.parts.gate().awaitPlacement(passed.team().name(), over), writer.body.prompt(),
 				writer.body.maxTokens(), record.startedAtMs() + model.answerDeadlineMs());
 		DraftResult result = new DraftSession(request, this.parts.chooser(), this.parts.upstreams(),
 				this.parts.engines(), this.parts.budget(), this.parts.ticker())
--- a/whinjunction-entry/src/main/java/io/whinjunction/entry/Gate.java
+++ b/whinjunction-entry/src/main/java/io/whinjunction/entry/Gate.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 
 import io.whinjunction.configuration.Configuration;
 import io.whinjunction.configuration.ConfigurationHolder;
@@ -143,12 +144,14 @@
 	 * already has a part waits for that proof; nothing is sent meanwhile, and what it
 	 * waits for is judged by the configuration of that time.
 	 * @param team the team
+	 * @param over whether the draft ends anyway, so that there is nothing to wait for
 	 * @return as {@link #placement}, after at most {@link #LONGEST_PROOF_WAIT_MS}
 	 */
-	Placement awaitPlacement(String team) {
+	Placement awaitPlacement(String team, BooleanSupplier over) {
 		long endMs = this.ticker.nowMs() + LONGEST_PROOF_WAIT_MS;
 		try {
-			while (!this.freshness.mayServe(this.ticker.nowMs()) && this.ticker.nowMs() < endMs) {
+			while (!this.freshness.mayServe(this.ticker.nowMs()) && this.ticker.nowMs() < endMs
+					&& !over.getAsBoolean()) {
 				this.ticker.sleepMs(PROOF_LOOK_MS);
 			}
 		}
--- a/whinjunction-entry/src/test/java/io/whinjunction/entry/GateTests.java
+++ b/whinjunction-entry/src/test/java/io/whinjunction/entry/GateTests.java
@@ -58,18 +58,17 @@
 	}
 
 	// A caller's draft breaks off in the middle. Its entry stood still for so long that
-	// its
-	// proof of the configuration ran out; when it runs again it gives up the draft, and
-	// has
-	// a new proof a few milliseconds later. No step may be sent meanwhile, but the draft
-	// can wait.
+	// its proof of the configuration ran out; when it runs again it gives up the draft,
+	// and has a new proof a few milliseconds later. No step may be sent meanwhile, but
+	// the
+	// draft can wait.
 	@Test
 	void aDraftThatHasBegunWaitsForTheNextProof() throws InterruptedException {
 		this.configuration.offer(manifest(1, "poa"));
 		this.freshness.confirmed(0);
 		this.nowMs = 1500;
 		this.confirmedAgainAtMs = 1700;
-		assertThat(this.gate.awaitPlacement("agencia")).isNotNull();
+		assertThat(this.gate.awaitPlacement("agencia", () -> false)).isNotNull();
 		assertThat(this.nowMs).isBetween(1700L, 1800L);
 	}
 
@@ -82,7 +81,7 @@
 		this.nowMs = 1500;
 		this.confirmedAgainAtMs = 1700;
 		this.meanwhile = () -> this.configuration.offer(manifest(2, "cxs"));
-		assertThat(this.gate.awaitPlacement("agencia")).isNull();
+		assertThat(this.gate.awaitPlacement("agencia", () -> false)).isNull();
 		assertThat(this.configuration.configuration().revision()).isEqualTo(2);
 	}
 
@@ -92,16 +91,27 @@
 		this.configuration.offer(manifest(1, "poa"));
 		this.freshness.confirmed(0);
 		this.nowMs = 1500;
-		assertThat(this.gate.awaitPlacement("agencia")).isNull();
+		assertThat(this.gate.awaitPlacement("agencia", () -> false)).isNull();
 		assertThat(this.nowMs).isBetween(1500 + Gate.LONGEST_PROOF_WAIT_MS, 1600 + Gate.LONGEST_PROOF_WAIT_MS);
 	}
 
+	// A draft waits for a proof, and its caller leaves: it must not hold its place any
+	// longer.
+	@Test
+	void aWaitForAProofEndsWithTheDraft() {
+		this.configuration.offer(manifest(1, "poa"));
+		this.freshness.confirmed(0);
+		this.nowMs = 1500;
+		assertThat(this.gate.awaitPlacement("agencia", () -> this.nowMs >= 1600)).isNull();
+		assertThat(this.nowMs).isEqualTo(1600);
+	}
+
 	// Where the configuration is known and forbids it there is nothing to wait for.
 	@Test
 	void aDraftOfATeamThatMayNotBeHereDoesNotWait() throws InterruptedException {
 		this.configuration.offer(manifest(1, "cxs"));
 		this.freshness.confirmed(0);
-		assertThat(this.gate.awaitPlacement("agencia")).isNull();
+		assertThat(this.gate.awaitPlacement("agencia", () -> false)).isNull();
 		assertThat(this.nowMs).isZero();
 		assertThat(this.configuration.configuration().revision()).isEqualTo(1);
 	}
--- a/whinjunction-entry/src/test/java/io/whinjunction/promises/EachLayerOnceTests.java
+++ b/whinjunction-entry/src/test/java/io/whinjunction/promises/EachLayerOnceTests.java
@@ -6,6 +6,8 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
+import java.util.function.Function;
 import java.util.function.Supplier;
 
 import io.whinjunction.configuration.Configuration;
@@ -145,6 +147,50 @@
 		assertThat(asked).hasValue(4);
 	}
 
+	// A proof is missing when an admitted draft begins, or runs out before its first step.
+	// Nothing was sent, so it can be told "not run" at once and need not hold its place
+	// for a wait.
+	@Test
+	void aDraftOfWhichNothingWasSentDoesNotWaitForAPermission() {
+		for (int known = 0; known <= 1; known++) {
+			World world = new World(1, 0);
+			AtomicInteger left = new AtomicInteger(known);
+			world.placement = () -> (left.getAndDecrement() > 0) ? PLACEMENT : null;
+			world.awaited = (over) -> {
+				throw new IllegalStateException("waited");
+			};
+			DraftResult result = world.draft("r", "a", new Collector(Integer.MAX_VALUE));
+			assertThat(result.outcome()).isInstanceOf(Outcome.NotRun.class);
+		}
+	}
+
+	// A draft waits for the next proof and its deadline comes, or its caller leaves: the
+	// wait is over then, and no step is sent after it.
+	@Test
+	void aWaitForAPermissionIsOverAtTheDeadlineAndWhenTheCallerHasLeft() {
+		World world = new World(1, 0);
+		List<Boolean> over = new ArrayList<>();
+		world.awaited = (isOver) -> {
+			over.add(isOver.getAsBoolean());
+			world.ticker.advance(MODEL.answerDeadlineMs());
+			over.add(isOver.getAsBoolean());
+			return PLACEMENT;
+		};
+		DraftResult result = world.draft("r", "a", new Collector(Integer.MAX_VALUE));
+		assertThat(over).containsExactly(false, true);
+		assertThat(result.tokens()).hasSize(1);
+		assertThat(result.outcome()).isInstanceOfSatisfying(Outcome.Unknown.class,
+				(unknown) -> assertThat(unknown.refusal().code()).isEqualTo(Refusal.Code.DEADLINE));
+		World other = new World(1, 0);
+		over.clear();
+		other.awaited = (isOver) -> {
+			over.add(isOver.getAsBoolean());
+			return PLACEMENT;
+		};
+		other.draft("r", "a", new Collector(1));
+		assertThat(over).containsExactly(true);
+	}
+
 	private static final class World {
 
 		private final VirtualTicker ticker = new VirtualTicker();
@@ -157,6 +203,8 @@
 
 		private Supplier<Placement> placement = () -> PLACEMENT;
 
+		private Function<BooleanSupplier, Placement> awaited = (over) -> this.placement.get();
+
 		World(int seed, int faultPercent) {
 			Random random = new Random(seed);
 			this.engines = new FaultyEngines(this.ticker, random, faultPercent);
@@ -179,7 +227,7 @@
 		}
 
 		DraftResult draft(String id, String prompt, TokenSink sink, long deadlineMs) {
-			DraftRequest request = new DraftRequest(id, MODEL, this.placement, prompt, TOKENS,
+			DraftRequest request = new DraftRequest(id, MODEL, this.placement, this.awaited, prompt, TOKENS,
 					this.ticker.nowMs() + deadlineMs);
 			return new DraftSession(request, this.chooser, this.table, this.engines, new RetryBudget(0.1, 20),
 					this.ticker)
