The wait for a proof: what it is long enough for

The comment said that a read takes at most 1 s. It may take twice the platform limit on a late process, and that limit is a setting; a watch takes longer still. Bounding the watch by what is left of the proof was ruled out here: a watch begins with a fresh proof, so its first length would stay the same.

--- a/whinjunction-entry/src/main/java/io/whinjunction/entry/Gate.java
+++ b/whinjunction-entry/src/main/java/io/whinjunction/entry/Gate.java
@@ -27,7 +27,11 @@
  */
 final class Gate {
 
-	/** A read of the platform takes at most its default limit of 1 s. */
+	/**
+	 * A read of a platform that is well takes some milliseconds. One that takes the whole
+	 * platform limit, twice that on a late process, or a watch that ends no sooner, is
+	 * not waited for: a draft's caller would see no token for many seconds.
+	 */
 	static final long LONGEST_PROOF_WAIT_MS = 1000;
 
 	/** A proof is had by one call, which takes some milliseconds. */
