--- a/whinjunction-entry/src/test/java/io/whinjunction/entry/LocalSystem.java
+++ b/whinjunction-entry/src/test/java/io/whinjunction/entry/LocalSystem.java
@@ -9,6 +9,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CountDownLatch;
 import java.util.function.BooleanSupplier;
 
 import io.whinjunction.configuration.ConfigurationReader;
@@ -70,6 +71,8 @@
 
 	private int drainMs = 60_000;
 
+	private volatile CountDownLatch mayStep = new CountDownLatch(0);
+
 	LocalSystem() {
 		this.platform = address(serve(new PlatformServer(this.store)));
 	}
@@ -79,7 +82,13 @@
 			for (String domain : DOMAINS) {
 				String id = "engine-" + domain + "-" + range;
 				FakeEngine engine = new FakeEngine("whin-llm", LAYERS, LayerRange.parse(range), 1000, true);
-				HttpServer server = serve(new EngineServer(engine, stepMs, 0));
+				EngineServer steps = new EngineServer(engine, stepMs, 0);
+				HttpServer server = serve((exchange) -> {
+					if (exchange.request().path().equals("/steps")) {
+						this.mayStep.await();
+					}
+					steps.handle(exchange);
+				});
 				this.engines.put(id, engine);
 				this.engineServers.put(id, server);
 				this.store.instance(new Instance(id, "whin-llm", address(server), domain, "kind-1", false));
@@ -92,6 +101,17 @@
 		return this;
 	}
 
+	/**
+	 * Holds the engines' steps from now on. A step that is held for longer than its limit
+	 * has failed.
+	 * @return releases them
+	 */
+	Runnable holdSteps() {
+		CountDownLatch held = new CountDownLatch(1);
+		this.mayStep = held;
+		return held::countDown;
+	}
+
 	LocalSystem limits(EntrySettings.Limits newLimits) {
 		this.limits = newLimits;
 		return this;
--- a/whinjunction-entry/src/test/java/io/whinjunction/entry/StoppingEntryTests.java
+++ b/whinjunction-entry/src/test/java/io/whinjunction/entry/StoppingEntryTests.java
@@ -61,16 +61,19 @@
 
 	// A draft streams; its caller sends the next request behind it, and the entry now
 	// refuses. The refusal must wait for its turn: written into the stream, it would
-	// spoil the running answer and close its connection.
+	// spoil the running answer and close its connection. The engines are held meanwhile,
+	// so that the answer can't end too soon.
 	@Test
 	void aRefusalWaitsForTheAnswerBeforeIt() throws IOException {
 		try (LocalSystem system = new LocalSystem().engines(5).entries(1).configure();
 				Socket socket = connect(system.entry(0).callerPort())) {
 			send(socket, draft("hello", 40));
 			String begin = new String(socket.getInputStream().readNBytes(8), StandardCharsets.ISO_8859_1);
+			Runnable release = system.holdSteps();
 			stop(system);
 			LocalSystem.await(() -> refuses(system));
 			send(socket, draft("next", 1));
+			release.run();
 			String answers = begin + readAll(socket);
 			int refusal = answers.indexOf("HTTP/1.1 503");
 			assertThat(refusal).as("the place of the refusal in %s", answers).isPositive();
@@ -164,6 +167,7 @@
 
 	// Drafts take three quarters of a second here. One runs when the entry is told to
 	// stop within a second, and one waits: begun after the first, it would be cut off.
+	// The first is held until the other has its answer; it can't end too soon.
 	@Test
 	void whatCannotBeExpectedToEndIsRefusedInPlaceOfBegun() {
 		try (LocalSystem system = new LocalSystem().engines(5)
@@ -173,6 +177,7 @@
 			.configure()) {
 			int port = system.entry(0).callerPort();
 			assertThat(HttpProbe.draft(port, "key-1", "usual", 30, false).status()).isEqualTo(200);
+			Runnable release = system.holdSteps();
 			CompletableFuture<HttpProbe.Answer> runs = later(() -> HttpProbe.draft(port, "key-1", "runs", 30, true));
 			LocalSystem.await(() -> inProgress(system) == 1);
 			CompletableFuture<HttpProbe.Answer> waits = later(() -> HttpProbe.draft(port, "key-1", "waits", 30, true));
@@ -180,6 +185,7 @@
 			stop(system);
 			assertThat(waits.join().outcome()).isEqualTo("not-run");
 			assertThat(waits.join().body()).contains("stopping");
+			release.run();
 			runs.join();
 		}
 	}
