Names and comments of the gate's stop, the watch and the time limit

Gate.stopping was a refusal beside a field and a question of that name; it is stoppingRefusal, and the one wording of a stop. Comments that were ragged, or said more than is so, are set right.

--- a/whinjunction-core/src/main/java/io/whinjunction/http/TimeLimit.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/http/TimeLimit.java
@@ -28,7 +28,7 @@
 	/** Shorter looks would take the usual lateness of timers for a standstill. */
 	private static final long SHORTEST_LOOK_MS = 20;
 
-	/** However late this process is, callers have limits of their own. */
+	/** However late this process is, whoever waits for the call must hear of it. */
 	private static final int LONGEST_LIMITS = 2;
 
 	private final long limitMs;
--- a/whinjunction-core/src/test/java/io/whinjunction/http/TimeLimitTests.java
+++ b/whinjunction-core/src/test/java/io/whinjunction/http/TimeLimitTests.java
@@ -23,8 +23,7 @@
 	/** How much later than asked for each wait returns. */
 	private long lateMs;
 
-	// A caller sees its draft move to another engine, or break off when no engine is
-	// left.
+	// A caller sees its draft move to another engine, or break off when none is left.
 	// The engine answered after 50 ms. This process got no processor for 400 ms: its
 	// thread that reads connections and the one that waits for the limit stood still
 	// together. The limit is over when they run again, and the answer lies unread.
--- a/whinjunction-entry/src/main/java/io/whinjunction/entry/Admission.java
+++ b/whinjunction-entry/src/main/java/io/whinjunction/entry/Admission.java
@@ -38,7 +38,7 @@
 	 */
 	static Refusal enter(EntryParts parts, AdmissionQueue queue, Team team, long allowedMs, Exchange exchange) {
 		if (!mayEnd(parts, queue)) {
-			return Gate.stopping();
+			return Gate.stoppingRefusal();
 		}
 		long waitMs = parts.limits().tryStart(team, parts.members().alive().size(), parts.ticker().nowMs());
 		if (waitMs > 0) {
@@ -72,12 +72,12 @@
 				if (over && queue.giveUp(team.name(), waiting)) {
 					return mayEnd
 							? Refusal.temporary(Code.DEADLINE, "The request waited as long as its deadline allows.", 1)
-							: Gate.stopping();
+							: Gate.stoppingRefusal();
 				}
 			}
 			catch (InterruptedException ex) {
 				Thread.currentThread().interrupt();
-				return queue.giveUp(team.name(), waiting) ? Refusal.temporary(Code.STOPPING, "Stopping.", 1) : null;
+				return queue.giveUp(team.name(), waiting) ? Gate.stoppingRefusal() : null;
 			}
 			catch (ExecutionException ex) {
 				throw new IllegalStateException(ex);
--- a/whinjunction-entry/src/main/java/io/whinjunction/entry/ConfigurationWatch.java
+++ b/whinjunction-entry/src/main/java/io/whinjunction/entry/ConfigurationWatch.java
@@ -39,7 +39,8 @@
 	/**
 	 * Waits for a newer manifest once; where the proof of the one held has run out, asks
 	 * for it at once, since a watch is answered only when its time is over.
-	 * @return whether the platform answered
+	 * @return whether the platform answered; where it was asked for a proof, whether that
+	 * is there
 	 */
 	boolean step() {
 		long askedAtMs = this.ticker.nowMs();
--- a/whinjunction-entry/src/main/java/io/whinjunction/entry/Gate.java
+++ b/whinjunction-entry/src/main/java/io/whinjunction/entry/Gate.java
@@ -85,9 +85,9 @@
 
 	/**
 	 * Ends the taking of requests: not ready at once, refusing after a notice. Without a
-	 * notice both begin at one moment: the thread that stops may be held up between two
-	 * words, for as long as a machine is starved, and whoever saw the first one would
-	 * have a request taken that belongs to another entry.
+	 * notice both begin at one moment: on a starved machine the thread that stops may be
+	 * held up between two writes, and whoever saw the entry not ready would have a
+	 * request taken that belongs to another entry.
 	 * @param noticeMs how long requests are still taken, so that a balancer can see that
 	 * this entry is not ready
 	 * @throws InterruptedException where the thread is interrupted
@@ -102,7 +102,7 @@
 
 	Verdict check(Request head) {
 		if (this.stopping) {
-			return refused(stopping());
+			return refused(stoppingRefusal());
 		}
 		if (!this.freshness.mayServe(this.ticker.nowMs())) {
 			return refused(Refusal.temporary(Code.CONFIGURATION_UNCONFIRMED,
@@ -137,10 +137,6 @@
 		return (placement != null && placement.permits(this.failureDomain)) ? placement : null;
 	}
 
-	static Refusal stopping() {
-		return Refusal.temporary(Code.STOPPING, "This entry is stopping; ask another one.", RETRY_AFTER_S);
-	}
-
 	/**
 	 * Where the data of a draft that has begun may be now. The failure it is there for:
 	 * an entry stood still until its proof ran out, gave up all its drafts when it ran
@@ -171,6 +167,10 @@
 				+ "'" + NearestMatch.hint(name, passed.team().services().stream().sorted().toList()));
 	}
 
+	static Refusal stoppingRefusal() {
+		return Refusal.temporary(Code.STOPPING, "This entry is stopping; ask another one.", RETRY_AFTER_S);
+	}
+
 	private View view() {
 		View current = this.view;
 		Configuration newest = this.configuration.configuration();
--- a/whinjunction-entry/src/test/java/io/whinjunction/entry/ConfigurationWatchTests.java
+++ b/whinjunction-entry/src/test/java/io/whinjunction/entry/ConfigurationWatchTests.java
@@ -62,8 +62,7 @@
 	}
 
 	// The platform lost the manifest. That proves nothing, and must not be asked without
-	// a
-	// pause.
+	// a pause.
 	@Test
 	void aLostManifestIsNoProof() {
 		accept();
--- a/whinjunction-entry/src/test/java/io/whinjunction/promises/EachLayerOnceTests.java
+++ b/whinjunction-entry/src/test/java/io/whinjunction/promises/EachLayerOnceTests.java
@@ -147,7 +147,8 @@
 		assertThat(asked).hasValue(4);
 	}
 
-	// A proof is missing when an admitted draft begins, or runs out before its first step.
+	// A proof is missing when an admitted draft begins, or runs out before its first
+	// step.
 	// Nothing was sent, so it can be told "not run" at once and need not hold its place
 	// for a wait.
 	@Test
