--- a/whinjunction-core/src/main/java/io/whinjunction/http/server/ExchangeHandler.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/http/server/ExchangeHandler.java
@@ -11,6 +11,8 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http2.DefaultHttp2ResetFrame;
+import io.netty.handler.codec.http2.Http2Error;
 
 /**
  * Hands whole requests to the handler, one at a time per connection, on virtual threads.
@@ -31,7 +33,7 @@
 	 * How long a connection outlives its last answer while its caller still sends, in
 	 * milliseconds: some round trips, in which a caller reads the answer and closes.
 	 */
-	private static final long LINGER_MS = 1000;
+	static final long LINGER_MS = 1000;
 
 	private final Handler handler;
 
@@ -171,12 +173,21 @@
 			this.connections.leave(context.channel());
 		}
 		ChannelFuture written = context.writeAndFlush(Responses.whole(answer.reply(), true));
-		if (this.http2 || !this.guard.arriving()) {
+		if (!this.guard.arriving()) {
 			written.addListener(ChannelFutureListener.CLOSE);
 			return;
 		}
+		if (this.http2) {
+			// Closed alone, the stream would be reset as cancelled, which callers may
+			// take
+			// for a failure of the answer.
+			written.addListener((sent) -> context.writeAndFlush(new DefaultHttp2ResetFrame(Http2Error.NO_ERROR))
+				.addListener(ChannelFutureListener.CLOSE));
+			return;
+		}
 		// The rest of the request is read and dropped. It would reset a connection that
 		// is closed at once, and the caller would see that in place of the answer.
+		this.connections.lingers(context.channel());
 		context.executor().schedule(() -> context.close(), LINGER_MS, TimeUnit.MILLISECONDS);
 	}
 
--- a/whinjunction-entry/src/main/java/io/whinjunction/entry/Gate.java
+++ b/whinjunction-entry/src/main/java/io/whinjunction/entry/Gate.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 
 import io.whinjunction.configuration.Configuration;
 import io.whinjunction.configuration.ConfigurationHolder;
@@ -26,7 +27,11 @@
  */
 final class Gate {
 
-	/** A read of the platform takes at most its default limit of 1 s. */
+	/**
+	 * A read of a platform that is well takes some milliseconds. One that takes the whole
+	 * platform limit, twice that on a late process, or a watch that ends no sooner, is
+	 * not waited for: a draft's caller would see no token for many seconds.
+	 */
 	static final long LONGEST_PROOF_WAIT_MS = 1000;
 
 	/** A proof is had by one call, which takes some milliseconds. */
@@ -80,11 +85,11 @@
 
 	/**
 	 * Ends the taking of requests: not ready at once, refusing after a notice. Without a
-	 * notice both begin at one moment: the thread that stops may be held up between two
-	 * words, for as long as a machine is starved, and whoever saw the first one would
-	 * have a request taken that belongs to another entry.
+	 * notice both begin at one moment: on a starved machine the thread that stops may be
+	 * held up between two writes, and whoever saw the entry not ready would have a
+	 * request taken that belongs to another entry.
 	 * @param noticeMs how long requests are still taken, so that a balancer can see that
-	 * this entry is not ready
+	 * this entry is not ready; none where it is negative
 	 * @throws InterruptedException where the thread is interrupted
 	 */
 	void stopAfter(long noticeMs) throws InterruptedException {
@@ -97,7 +102,7 @@
 
 	Verdict check(Request head) {
 		if (this.stopping) {
-			return refused(stopping());
+			return refused(stoppingRefusal());
 		}
 		if (!this.freshness.mayServe(this.ticker.nowMs())) {
 			return refused(Refusal.temporary(Code.CONFIGURATION_UNCONFIRMED,
@@ -123,13 +128,13 @@
 	 * have its data any more, or the configuration cannot be confirmed
 	 */
 	Placement placement(String team) {
+		// The proof is asked for first: one that comes between the two looks may be that
+		// of a tightened revision, and proves nothing about a view taken before it.
+		if (!this.freshness.mayServe(this.ticker.nowMs())) {
+			return null;
+		}
 		Placement placement = view().placements.get(team);
-		boolean here = placement != null && placement.permits(this.failureDomain);
-		return (here && this.freshness.mayServe(this.ticker.nowMs())) ? placement : null;
-	}
-
-	static Refusal stopping() {
-		return Refusal.temporary(Code.STOPPING, "This entry is stopping; ask another one.", RETRY_AFTER_S);
+		return (placement != null && placement.permits(this.failureDomain)) ? placement : null;
 	}
 
 	/**
@@ -139,12 +144,14 @@
 	 * already has a part waits for that proof; nothing is sent meanwhile, and what it
 	 * waits for is judged by the configuration of that time.
 	 * @param team the team
+	 * @param over whether the draft ends anyway, so that there is nothing to wait for
 	 * @return as {@link #placement}, after at most {@link #LONGEST_PROOF_WAIT_MS}
 	 */
-	Placement awaitPlacement(String team) {
+	Placement awaitPlacement(String team, BooleanSupplier over) {
 		long endMs = this.ticker.nowMs() + LONGEST_PROOF_WAIT_MS;
 		try {
-			while (!this.freshness.mayServe(this.ticker.nowMs()) && this.ticker.nowMs() < endMs) {
+			while (!this.freshness.mayServe(this.ticker.nowMs()) && this.ticker.nowMs() < endMs
+					&& !over.getAsBoolean()) {
 				this.ticker.sleepMs(PROOF_LOOK_MS);
 			}
 		}
@@ -160,6 +167,10 @@
 				+ "'" + NearestMatch.hint(name, passed.team().services().stream().sorted().toList()));
 	}
 
+	static Refusal stoppingRefusal() {
+		return Refusal.temporary(Code.STOPPING, "This entry is stopping; ask another one.", RETRY_AFTER_S);
+	}
+
 	private View view() {
 		View current = this.view;
 		Configuration newest = this.configuration.configuration();
--- a/whinjunction-entry/src/test/java/io/whinjunction/entry/LocalSystem.java
+++ b/whinjunction-entry/src/test/java/io/whinjunction/entry/LocalSystem.java
@@ -9,6 +9,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CountDownLatch;
 import java.util.function.BooleanSupplier;
 
 import io.whinjunction.configuration.ConfigurationReader;
@@ -27,6 +28,7 @@
 import io.whinjunction.standins.FreePorts;
 import io.whinjunction.standins.PlatformServer;
 import io.whinjunction.time.Closer;
+import io.whinjunction.time.Ticker;
 import tools.jackson.databind.node.ObjectNode;
 import tools.jackson.dataformat.toml.TomlMapper;
 
@@ -66,10 +68,14 @@
 
 	private EntrySettings.Tls tls;
 
+	private Ticker ticker = Ticker.system();
+
 	private int noticeMs;
 
 	private int drainMs = 60_000;
 
+	private volatile CountDownLatch mayStep = new CountDownLatch(0);
+
 	LocalSystem() {
 		this.platform = address(serve(new PlatformServer(this.store)));
 	}
@@ -79,7 +85,13 @@
 			for (String domain : DOMAINS) {
 				String id = "engine-" + domain + "-" + range;
 				FakeEngine engine = new FakeEngine("whin-llm", LAYERS, LayerRange.parse(range), 1000, true);
-				HttpServer server = serve(new EngineServer(engine, stepMs, 0));
+				EngineServer steps = new EngineServer(engine, stepMs, 0);
+				HttpServer server = serve((exchange) -> {
+					if (exchange.request().path().equals("/steps")) {
+						this.mayStep.await();
+					}
+					steps.handle(exchange);
+				});
 				this.engines.put(id, engine);
 				this.engineServers.put(id, server);
 				this.store.instance(new Instance(id, "whin-llm", address(server), domain, "kind-1", false));
@@ -92,6 +104,17 @@
 		return this;
 	}
 
+	/**
+	 * Holds the engines' steps from now on. A step that is held for longer than its limit
+	 * has failed.
+	 * @return releases them
+	 */
+	Runnable holdSteps() {
+		CountDownLatch held = new CountDownLatch(1);
+		this.mayStep = held;
+		return held::countDown;
+	}
+
 	LocalSystem limits(EntrySettings.Limits newLimits) {
 		this.limits = newLimits;
 		return this;
@@ -108,6 +131,11 @@
 		return this;
 	}
 
+	LocalSystem ticker(Ticker newTicker) {
+		this.ticker = newTicker;
+		return this;
+	}
+
 	LocalSystem entries(int count) {
 		for (int i = 0; i < count; i++) {
 			this.peerPorts.add(FreePorts.next());
@@ -133,7 +161,7 @@
 				0, 0, this.peerPorts.get(index), platformAddress, seeds, "", this.limits,
 				new EntrySettings.Timing(1000, 500, 300, 100, 100, 2000, 1000, this.noticeMs, this.drainMs), this.tls);
 		try {
-			Entry entry = new Entry(settings);
+			Entry entry = new Entry(settings, this.ticker);
 			this.entries.add(entry);
 			return entry;
 		}
--- a/whinjunction-entry/src/test/java/io/whinjunction/entry/StoppingEntryTests.java
+++ b/whinjunction-entry/src/test/java/io/whinjunction/entry/StoppingEntryTests.java
@@ -61,16 +61,19 @@
 
 	// A draft streams; its caller sends the next request behind it, and the entry now
 	// refuses. The refusal must wait for its turn: written into the stream, it would
-	// spoil the running answer and close its connection.
+	// spoil the running answer and close its connection. The engines are held meanwhile,
+	// so that the answer can't end too soon.
 	@Test
 	void aRefusalWaitsForTheAnswerBeforeIt() throws IOException {
 		try (LocalSystem system = new LocalSystem().engines(5).entries(1).configure();
 				Socket socket = connect(system.entry(0).callerPort())) {
 			send(socket, draft("hello", 40));
 			String begin = new String(socket.getInputStream().readNBytes(8), StandardCharsets.ISO_8859_1);
+			Runnable release = system.holdSteps();
 			stop(system);
 			LocalSystem.await(() -> refuses(system));
 			send(socket, draft("next", 1));
+			release.run();
 			String answers = begin + readAll(socket);
 			int refusal = answers.indexOf("HTTP/1.1 503");
 			assertThat(refusal).as("the place of the refusal in %s", answers).isPositive();
@@ -164,6 +167,7 @@
 
 	// Drafts take three quarters of a second here. One runs when the entry is told to
 	// stop within a second, and one waits: begun after the first, it would be cut off.
+	// The first is held until the other has its answer; it can't end too soon.
 	@Test
 	void whatCannotBeExpectedToEndIsRefusedInPlaceOfBegun() {
 		try (LocalSystem system = new LocalSystem().engines(5)
@@ -173,6 +177,7 @@
 			.configure()) {
 			int port = system.entry(0).callerPort();
 			assertThat(HttpProbe.draft(port, "key-1", "usual", 30, false).status()).isEqualTo(200);
+			Runnable release = system.holdSteps();
 			CompletableFuture<HttpProbe.Answer> runs = later(() -> HttpProbe.draft(port, "key-1", "runs", 30, true));
 			LocalSystem.await(() -> inProgress(system) == 1);
 			CompletableFuture<HttpProbe.Answer> waits = later(() -> HttpProbe.draft(port, "key-1", "waits", 30, true));
@@ -180,23 +185,71 @@
 			stop(system);
 			assertThat(waits.join().outcome()).isEqualTo("not-run");
 			assertThat(waits.join().body()).contains("stopping");
+			release.run();
 			runs.join();
 		}
 	}
 
+	// The signal comes while the process is suspended, 50 s before it goes on. The notice
+	// of 60 s runs since then: counted from the moment of waking, the entry would end 50
+	// s
+	// after whoever waits for it, and be killed with all it serves. The suspension of
+	// some
+	// time before has nothing to do with the signal.
+	@Test
+	void theNoticeOfASignalThatCameInASuspensionIsCountedFromBefore() throws InterruptedException {
+		SuspendableTicker ticker = new SuspendableTicker();
+		try (LocalSystem system = new LocalSystem().ticker(ticker).stopping(60_000, 1000).entries(1)) {
+			ticker.leap(20_000);
+			LocalSystem.await(ticker::noted);
+			ticker.leapOfSignal(50_000);
+			system.entry(0).stop();
+			assertThat(ticker.sleptMs()).isPositive().isLessThanOrEqualTo(10_000);
+		}
+	}
+
+	// The same, and notice and drain limit were over before the process went on, with an
+	// answer still on its way to a slow reader. It is ended now, not a minute later.
+	@Test
+	void aStopWhoseTimeWasOverBeforeItWasHandledWaitsForNothing() throws Exception {
+		SuspendableTicker ticker = new SuspendableTicker();
+		try (LocalSystem system = new LocalSystem().ticker(ticker)
+			.engines(0)
+			.stopping(10_000, 60_000)
+			.entries(1)
+			.configure();
+				HttpServer large = HttpServer.start(HttpServerSettings.plain("127.0.0.1", 0),
+						(exchange) -> exchange.reply(new Reply(200, List.of(), new byte[LARGE_BYTES])));
+				Socket socket = new Socket()) {
+			offerInPlaceOfBookings(system, large);
+			socket.setReceiveBufferSize(4096);
+			socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), system.entry(0).callerPort()));
+			send(socket, "GET /services/booking-api/large HTTP/1.1\r\nhost: x\r\nauthorization: Bearer key-1\r\n\r\n");
+			assertThat(socket.getInputStream().readNBytes(8)).asString().isEqualTo("HTTP/1.1");
+			CompletableFuture<Integer> cutOff = later(() -> {
+				ticker.leapOfSignal(75_000);
+				return stop(system.entry(0));
+			});
+			assertThat(cutOff.get(30, TimeUnit.SECONDS)).isOne();
+			assertThat(ticker.sleptMs()).isZero();
+		}
+	}
+
 	private static CompletableFuture<Integer> stop(LocalSystem system) {
-		CompletableFuture<Integer> cutOff = later(() -> {
-			try {
-				return system.entry(0).stop();
-			}
-			catch (InterruptedException ex) {
-				throw new IllegalStateException(ex);
-			}
-		});
+		CompletableFuture<Integer> cutOff = later(() -> stop(system.entry(0)));
 		LocalSystem.await(() -> HttpProbe.get(system.entry(0).operatorPort(), "/readyz").status() != 200);
 		return cutOff;
 	}
 
+	private static int stop(Entry entry) {
+		try {
+			return entry.stop();
+		}
+		catch (InterruptedException ex) {
+			throw new IllegalStateException(ex);
+		}
+	}
+
 	private static <T> CompletableFuture<T> later(Supplier<T> task) {
 		CompletableFuture<T> result = new CompletableFuture<>();
 		Thread.startVirtualThread(() -> {
