--- a/whinjunction-entry/src/test/java/io/whinjunction/entry/StoppingEntryTests.java
+++ b/whinjunction-entry/src/test/java/io/whinjunction/entry/StoppingEntryTests.java
@@ -102,14 +102,9 @@
 	@Test
 	void aStopWaitsUntilAnAnswerHasLeft() throws Exception {
 		try (LocalSystem system = new LocalSystem().engines(0).entries(1).configure();
-				HttpServer large = HttpServer.start(HttpServerSettings.plain("127.0.0.1", 0),
-						(exchange) -> exchange.reply(new Reply(200, List.of(), new byte[LARGE_BYTES])));
+				HttpServer large = serverOfLargeAnswers();
 				Socket socket = new Socket()) {
-			offerInPlaceOfBookings(system, large);
-			socket.setReceiveBufferSize(4096);
-			socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), system.entry(0).callerPort()));
-			send(socket, "GET /services/booking-api/large HTTP/1.1\r\nhost: x\r\nauthorization: Bearer key-1\r\n\r\n");
-			assertThat(socket.getInputStream().readNBytes(8)).asString().isEqualTo("HTTP/1.1");
+			beginLargeAnswer(system, large, socket);
 			CompletableFuture<Integer> cutOff = stop(system);
 			LocalSystem.await(() -> refuses(system));
 			assertThat(readAll(socket).length()).isGreaterThan(LARGE_BYTES);
@@ -217,15 +212,8 @@
 			.engines(0)
 			.stopping(10_000, 60_000)
 			.entries(1)
-			.configure();
-				HttpServer large = HttpServer.start(HttpServerSettings.plain("127.0.0.1", 0),
-						(exchange) -> exchange.reply(new Reply(200, List.of(), new byte[LARGE_BYTES])));
-				Socket socket = new Socket()) {
-			offerInPlaceOfBookings(system, large);
-			socket.setReceiveBufferSize(4096);
-			socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), system.entry(0).callerPort()));
-			send(socket, "GET /services/booking-api/large HTTP/1.1\r\nhost: x\r\nauthorization: Bearer key-1\r\n\r\n");
-			assertThat(socket.getInputStream().readNBytes(8)).asString().isEqualTo("HTTP/1.1");
+			.configure(); HttpServer large = serverOfLargeAnswers(); Socket socket = new Socket()) {
+			beginLargeAnswer(system, large, socket);
 			CompletableFuture<Integer> cutOff = later(() -> {
 				ticker.leapOfSignal(75_000);
 				return stop(system.entry(0));
@@ -272,6 +260,20 @@
 		return Integer.parseInt(status.replaceAll("(?s).*\"in_progress\":(\\d+).*", "$1"));
 	}
 
+	private static HttpServer serverOfLargeAnswers() throws InterruptedException {
+		return HttpServer.start(HttpServerSettings.plain("127.0.0.1", 0),
+				(exchange) -> exchange.reply(new Reply(200, List.of(), new byte[LARGE_BYTES])));
+	}
+
+	// The caller reads the beginning, and nothing more.
+	private static void beginLargeAnswer(LocalSystem system, HttpServer large, Socket socket) throws Exception {
+		offerInPlaceOfBookings(system, large);
+		socket.setReceiveBufferSize(4096);
+		socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), system.entry(0).callerPort()));
+		send(socket, "GET /services/booking-api/large HTTP/1.1\r\nhost: x\r\nauthorization: Bearer key-1\r\n\r\n");
+		assertThat(socket.getInputStream().readNBytes(8)).asString().isEqualTo("HTTP/1.1");
+	}
+
 	private static void offerInPlaceOfBookings(LocalSystem system, HttpServer server) {
 		String address = "127.0.0.1:" + server.port();
 		for (String domain : List.of("poa-a", "poa-b", "cxs-a")) {
--- a/whinjunction-entry/src/test/java/io/whinjunction/promises/LeaseTests.java
+++ b/whinjunction-entry/src/test/java/io/whinjunction/promises/LeaseTests.java
@@ -10,7 +10,6 @@
 import io.whinjunction.engine.EngineClient.Step;
 import io.whinjunction.engine.EngineClient.StepResult;
 import io.whinjunction.lease.LeaseKeeper;
-import io.whinjunction.platform.ObjectStore;
 import io.whinjunction.standins.FakeEngine;
 import io.whinjunction.standins.FakeObjectStore;
 import io.whinjunction.standins.FakeObjectStore.Fault;
@@ -104,7 +103,7 @@
 		LeaseKeeper a = keeper("a");
 		a.step();
 		AtomicBoolean slow = new AtomicBoolean(true);
-		LeaseKeeper b = new LeaseKeeper(new WatchedReads(this.store, () -> {
+		LeaseKeeper b = new LeaseKeeper(new InterleavedStore(this.store, () -> {
 			if (slow.getAndSet(false)) {
 				this.ticker.advance(TTL_MS / 2);
 				a.step();
@@ -149,42 +148,4 @@
 		return new LeaseKeeper(this.store, "lease", id, TTL_MS, this.ticker, () -> id + this.nonces++);
 	}
 
-	/**
-	 * Runs something before each read is answered.
-	 */
-	private record WatchedReads(ObjectStore store, Runnable beforeRead) implements ObjectStore {
-
-		@Override
-		public Read read(String key) {
-			this.beforeRead.run();
-			return this.store.read(key);
-		}
-
-		@Override
-		public Write write(String key, String value, long expectedVersion) {
-			return this.store.write(key, value, expectedVersion);
-		}
-
-		@Override
-		public Listing list(String prefix) {
-			return this.store.list(prefix);
-		}
-
-		@Override
-		public Write remove(String key, long expectedVersion) {
-			return this.store.remove(key, expectedVersion);
-		}
-
-		@Override
-		public Read watch(String key, long afterVersion, long timeoutMs) {
-			return this.store.watch(key, afterVersion, timeoutMs);
-		}
-
-		@Override
-		public Instances instances() {
-			return this.store.instances();
-		}
-
-	}
-
 }
