What other routers say of engines is summed when it is said, not at each rating

Cause, by reading and by samples of one process (12 of 64 in the choice of a path): each request rates each engine, and each rating added up what each other router says, twice for its memory and once for its pace: engines times routers, three times a request. HeardRouters keeps the sums, and takes back what a router said when it says something new or falls silent.

Whom to tell of are now the routers that were heard last, and no longer the same eight.

--- a/whinjunction-router/src/main/java/io/whinjunction/router/PeerTable.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/PeerTable.java
@@ -1,13 +1,10 @@
 package io.whinjunction.router;
 
 import java.util.ArrayList;
-import java.util.Collections;
 import java.util.HashMap;
-import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Random;
-import java.util.Set;
 import java.util.random.RandomGenerator;
 
 /**
@@ -36,6 +33,9 @@
 	 */
 	private static final double MOST_HEARD = 2.0 * PeerLink.FANOUT * SILENT_MS / PeerLink.PERIOD_MS;
 
+	/** A silent router is asked in one period of this many. */
+	private static final int SILENT_ASKED_EACH = 4;
+
 	/** Bounds a message whatever the fleet's size. */
 	private static final int MOST_ROUTERS_TOLD = 8;
 
@@ -47,7 +47,10 @@
 
 	private final Map<String, Peer> byAddress = new HashMap<>();
 
-	private final Map<Long, Long> askedAtMs = new HashMap<>();
+	private final HeardRouters heard = new HeardRouters(SILENT_MS);
+
+	/** When questions were asked, by their numbers; the oldest in front. */
+	private final LinkedHashMap<Long, Long> askedAtMs = new LinkedHashMap<>();
 
 	private long sequence;
 
@@ -85,7 +88,9 @@
 	long ask(long bootMs) {
 		this.sequence++;
 		this.askedAtMs.put(this.sequence, bootMs);
-		this.askedAtMs.values().removeIf((askedMs) -> bootMs - askedMs > REMEMBERED_MS);
+		while (bootMs - this.askedAtMs.firstEntry().getValue() > REMEMBERED_MS) {
+			this.askedAtMs.pollFirstEntry();
+		}
 		return this.sequence;
 	}
 
@@ -101,6 +106,7 @@
 		Peer peer = this.byAddress.computeIfAbsent(status.address(), (ignored) -> new Peer());
 		peer.status = status;
 		peer.heardAtMs = nowMs;
+		this.heard.heard(status, nowMs);
 		hearOfLeader(status, nowMs);
 		addresses(status.routers());
 	}
@@ -124,33 +130,44 @@
 	 * healed is noticed
 	 */
 	List<String> targets(int most, long nowMs) {
-		List<String> alive = new ArrayList<>();
-		List<String> silent = new ArrayList<>();
-		this.byAddress.forEach((address, peer) -> (alive(peer, nowMs) ? alive : silent).add(address));
-		Collections.shuffle(alive, asRandom());
-		Collections.shuffle(silent, asRandom());
-		List<String> targets = new ArrayList<>(alive.subList(0, Math.min(most, alive.size())));
-		if (!silent.isEmpty() && (targets.isEmpty() || this.random.nextInt(4) == 0)) {
-			targets.add(silent.getFirst());
+		List<String> heard = this.heard.addresses(nowMs);
+		List<String> targets = new ArrayList<>(most + 1);
+		while (targets.size() < most && !heard.isEmpty()) {
+			targets.add(takeAny(heard));
+		}
+		if (targets.isEmpty() || this.random.nextInt(SILENT_ASKED_EACH) == 0) {
+			List<String> silent = silent(nowMs);
+			if (!silent.isEmpty()) {
+				targets.add(takeAny(silent));
+			}
 		}
 		return targets;
 	}
 
-	private Random asRandom() {
-		return Random.from(this.random);
+	// The last one takes the place of the one that is taken, so that nothing is moved.
+	private String takeAny(List<String> addresses) {
+		String last = addresses.removeLast();
+		int index = this.random.nextInt(addresses.size() + 1);
+		return (index == addresses.size()) ? last : addresses.set(index, last);
+	}
+
+	private List<String> silent(long nowMs) {
+		List<String> silent = new ArrayList<>();
+		for (String address : this.byAddress.keySet()) {
+			if (!this.heard.contains(address, nowMs)) {
+				silent.add(address);
+			}
+		}
+		return silent;
 	}
 
 	/**
-	 * Routers that were heard lately.
+	 * How many routers were heard lately.
 	 * @param nowMs the time
-	 * @return their last words
+	 * @return the number, this one left out
 	 */
-	List<PeerStatus> alive(long nowMs) {
-		return this.byAddress.values()
-			.stream()
-			.filter((peer) -> alive(peer, nowMs))
-			.map((peer) -> peer.status)
-			.toList();
+	int heardLately(long nowMs) {
+		return this.heard.count(nowMs);
 	}
 
 	/**
@@ -187,13 +204,8 @@
 	 * @return tokens times layers, by what they said last
 	 */
 	long tokenLayersAt(String engineId, long nowMs) {
-		long sum = 0;
-		for (Peer peer : this.byAddress.values()) {
-			if (alive(peer, nowMs)) {
-				sum += peer.status.tokenLayersByEngine().getOrDefault(engineId, 0L);
-			}
-		}
-		return (long) (sum * Math.max(1, this.byAddress.size() / MOST_HEARD));
+		double unheard = Math.max(1, this.byAddress.size() / MOST_HEARD);
+		return (long) (this.heard.tokenLayersAt(engineId, nowMs) * unheard);
 	}
 
 	private void hearOfLeader(PeerStatus status, long nowMs) {
@@ -240,13 +252,7 @@
 	 * @return 1 where nobody says that it is slow
 	 */
 	double paceOf(String engineId, long nowMs) {
-		double pace = 1;
-		for (Peer peer : this.byAddress.values()) {
-			if (alive(peer, nowMs)) {
-				pace = Math.max(pace, peer.status.paceByEngine().getOrDefault(engineId, 1.0));
-			}
-		}
-		return pace;
+		return this.heard.paceOf(engineId, nowMs);
 	}
 
 	/**
@@ -266,13 +272,7 @@
 	 * @return some routers that were heard lately
 	 */
 	List<String> toTell(long nowMs) {
-		Set<String> told = new HashSet<>();
-		for (PeerStatus status : alive(nowMs)) {
-			if (told.size() < MOST_ROUTERS_TOLD && !status.leaving()) {
-				told.add(status.address());
-			}
-		}
-		return List.copyOf(told);
+		return this.heard.newestStaying(MOST_ROUTERS_TOLD, nowMs);
 	}
 
 	private static boolean alive(Peer peer, long nowMs) {
--- a/whinjunction-router/src/main/java/io/whinjunction/router/TargetChooser.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/TargetChooser.java
@@ -114,7 +114,7 @@
 		// All routers decide alone and much alike: what this one has just sent to an
 		// engine, the others have too. By the published rates fifty prompts that go the
 		// same way after a loss keep the last of them waiting for 235 ms.
-		int routers = 1 + this.peers.alive(nowMs).size();
+		int routers = 1 + this.peers.heardLately(nowMs);
 		List<PathFinder.Candidate> candidates = new ArrayList<>();
 		for (UpstreamState state : this.directory.staying(wish.service().name())) {
 			EngineKind kind = profile.kinds().get(state.upstream().kind());
@@ -122,29 +122,28 @@
 					|| wish.tried().contains(state.upstream().incarnation())) {
 				continue;
 			}
-			if (!wish.mustFit() || !full(profile, kind, state, nowMs)) {
-				candidates.add(candidate(profile, kind, state, wish.tokens(), routers, nowMs));
+			double usedPart = usedPart(profile, kind, state, nowMs);
+			if (!wish.mustFit() || !full(profile, kind, state.upstream().held(), usedPart)) {
+				PathCosts.Load load = new PathCosts.Load(usedPart, (double) routers * state.unreadTokens(),
+						pace(state.upstream(), nowMs), state.avoided(nowMs));
+				candidates.add(PathCosts.rate(profile, engine(state.upstream(), kind), load, wish.tokens()));
 			}
 		}
 		return candidates;
 	}
 
-	private PathFinder.Candidate candidate(ModelProfile profile, EngineKind kind, UpstreamState state, int tokens,
-			int routers, long nowMs) {
-		Upstream upstream = state.upstream();
-		Engine engine = new Engine(upstream.incarnation(), upstream.address(), upstream.failureDomain(), kind,
-				upstream.held(), false);
-		double pace = Math.max(this.paces.getOrDefault(upstream.incarnation(), 1.0),
+	private double pace(Upstream upstream, long nowMs) {
+		return Math.max(this.paces.getOrDefault(upstream.incarnation(), 1.0),
 				this.peers.paceOf(upstream.incarnation(), nowMs));
-		PathCosts.Load load = new PathCosts.Load(usedPart(profile, kind, state, nowMs),
-				(double) routers * state.unreadTokens(), pace, state.avoided(nowMs));
-		return PathCosts.rate(profile, engine, load, tokens);
 	}
 
-	private boolean full(ModelProfile profile, EngineKind kind, UpstreamState state, long nowMs) {
-		LayerRange held = state.upstream().held();
-		return Crowding.full(usedPart(profile, kind, state, nowMs),
-				profile.roomTokens(kind, held.end() - held.first()));
+	private static Engine engine(Upstream upstream, EngineKind kind) {
+		return new Engine(upstream.incarnation(), upstream.address(), upstream.failureDomain(), kind, upstream.held(),
+				false);
+	}
+
+	private static boolean full(ModelProfile profile, EngineKind kind, LayerRange held, double usedPart) {
+		return Crowding.full(usedPart, profile.roomTokens(kind, held.end() - held.first()));
 	}
 
 	/**
