A look at streams that finds nothing builds nothing

Looks come about every 80 ms while there are streams, and each built the paths of all of them, sorted, to find none late. Now the earliest moment at which one could be late is looked up first. What a look does where a stream is late, an engine suspect or a start of an engine over is as it was (StallRulesTests).

--- a/whinjunction-router/src/main/java/io/whinjunction/router/EngineWatch.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/EngineWatch.java
@@ -141,19 +141,20 @@
 	// of 88 routers that heard of four dead engines, each asked all four, 2.5 times a
 	// second.
 	private boolean passedByOwn(String incarnation) {
-		return this.streams.stream()
-			.anyMatch((stream) -> stream.target()
-				.path()
-				.stream()
-				.anyMatch((hop) -> hop.engine().id().equals(incarnation)));
+		return this.streams.stream().anyMatch((stream) -> stream.target().engineIds().contains(incarnation));
 	}
 
 	private void look() {
 		if (this.streams.isEmpty() && this.suspicions.isEmpty()) {
 			return;
 		}
+		double untilLateMs = untilLateMs();
+		this.timer.lookWithin(this.suspicions.isEmpty() ? untilLateMs : LookTimer.SHORTEST_MS);
+		if (untilLateMs > 0 && this.suspicions.isEmpty() && !this.router.directory().anyEnded()) {
+			// Nearly every look finds nothing, and looks come many times a second.
+			return;
+		}
 		Map<Attempt, StallRules.Pause> pauses = pauses();
-		this.timer.lookWithin(this.suspicions.isEmpty() ? untilLateMs(pauses) : LookTimer.SHORTEST_MS);
 		moveFromSuspects(pauses);
 		Round round = new Round();
 		StallRules.standing(pauses.values()).forEach(round::ask);
@@ -172,8 +173,13 @@
 		}
 	}
 
-	private static double untilLateMs(Map<Attempt, StallRules.Pause> pauses) {
-		return pauses.values().stream().mapToDouble(StallRules::untilLateMs).min().orElse(LookTimer.LONGEST_MS);
+	private double untilLateMs() {
+		long nowMs = this.router.nowMs();
+		double untilLateMs = LookTimer.LONGEST_MS;
+		for (Attempt stream : this.streams) {
+			untilLateMs = Math.min(untilLateMs, StallRules.untilLateMs(pause(stream, List.of(), nowMs)));
+		}
+		return untilLateMs;
 	}
 
 	private Map<Attempt, StallRules.Pause> pauses() {
@@ -185,13 +191,15 @@
 		ordered.sort(Comparator.comparingInt(Attempt::promptTokens));
 		Map<Attempt, StallRules.Pause> pauses = new LinkedHashMap<>();
 		for (Attempt stream : ordered) {
-			List<String> ids = stream.target().path().stream().map((hop) -> hop.engine().id()).toList();
-			pauses.put(stream,
-					new StallRules.Pause(ids, stream.gapsKnown(), stream.usualGapMs(), nowMs - stream.progressAtMs()));
+			pauses.put(stream, pause(stream, stream.target().engineIds(), nowMs));
 		}
 		return pauses;
 	}
 
+	private static StallRules.Pause pause(Attempt stream, List<String> engineIds, long nowMs) {
+		return new StallRules.Pause(engineIds, stream.gapsKnown(), stream.usualGapMs(), nowMs - stream.progressAtMs());
+	}
+
 	private void moveFromSuspects(Map<Attempt, StallRules.Pause> pauses) {
 		pauses.forEach((stream, pause) -> {
 			if (StallRules.waits(pause)) {
--- a/whinjunction-router/src/main/java/io/whinjunction/router/Target.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/Target.java
@@ -1,5 +1,6 @@
 package io.whinjunction.router;
 
+import java.util.ArrayList;
 import java.util.List;
 
 import io.whinjunction.chain.Hop;
@@ -12,6 +13,18 @@
  */
 record Target(Upstream first, List<Hop> path) {
 
+	/**
+	 * The engines of the path.
+	 * @return their incarnations in order
+	 */
+	List<String> engineIds() {
+		List<String> ids = new ArrayList<>(this.path.size());
+		for (Hop hop : this.path) {
+			ids.add(hop.engine().id());
+		}
+		return ids;
+	}
+
 	/**
 	 * How often a path changes between failure domains.
 	 * @param path the path
--- a/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamDirectory.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamDirectory.java
@@ -171,6 +171,14 @@
 		return this.ended.contains(incarnation);
 	}
 
+	/**
+	 * Whether any upstream has started again under its name.
+	 * @return whether {@link #ended} may hold for any
+	 */
+	boolean anyEnded() {
+		return !this.ended.isEmpty();
+	}
+
 	/**
 	 * An upstream by its incarnation.
 	 * @param incarnation the incarnation
