--- a/whinjunction-router/src/main/java/io/whinjunction/router/RouterMetrics.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/RouterMetrics.java
@@ -13,6 +13,9 @@
 /**
  * The router's metrics. Label sets are bounded: outcomes and a few fixed words, never a
  * request, a caller or an upstream. Safe for all threads.
+ * <p>
+ * No metric samples exemplars: nothing here sets the trace that they would name, and the
+ * sampling has a thread and timers of its own.
  */
 public final class RouterMetrics {
 
@@ -21,18 +24,21 @@
 	private final Counter requests = Counter.builder()
 		.name("whin_router_requests_total")
 		.help("Requests by route kind and outcome")
+		.withoutExemplars()
 		.labelNames("kind", "outcome")
 		.register(this.registry);
 
 	private final Counter attempts = Counter.builder()
 		.name("whin_router_attempts_total")
 		.help("Attempts at upstreams by how they ended")
+		.withoutExemplars()
 		.labelNames("end")
 		.register(this.registry);
 
 	private final Counter storeCalls = Counter.builder()
 		.name("whin_router_store_calls_total")
 		.help("Calls to the platform's store by call and result")
+		.withoutExemplars()
 		.labelNames("call", "result")
 		.register(this.registry);
 
@@ -41,6 +47,7 @@
 		.help("From a request's head to the end of its answer")
 		.classicUpperBounds(0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 20)
 		.classicOnly()
+		.withoutExemplars()
 		.labelNames("kind")
 		.register(this.registry);
 
@@ -49,11 +56,13 @@
 		.help("From a request's head to the first event of its stream")
 		.classicUpperBounds(0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5)
 		.classicOnly()
+		.withoutExemplars()
 		.register(this.registry);
 
 	private final Gauge state = Gauge.builder()
 		.name("whin_router_state")
 		.help("State by kind: version, proof_age_ms, upstreams, callers, leading, log_lines_dropped")
+		.withoutExemplars()
 		.labelNames("kind")
 		.register(this.registry);
 
