--- a/whinjunction-core/src/main/java/io/whinjunction/log/LineLog.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/log/LineLog.java
@@ -37,6 +37,8 @@
 
 	private final FileOutputStream out = new FileOutputStream(FileDescriptor.out);
 
+	private final LineTime time = new LineTime();
+
 	private LineLog() {
 	}
 
@@ -70,7 +72,8 @@
 	@Override
 	public void publish(LogRecord record) {
 		StringBuilder line = new StringBuilder(160);
-		line.append("time=").append(record.getInstant());
+		line.append("time=");
+		this.time.append(line, record.getInstant());
 		line.append(" level=").append(record.getLevel().getName()).append(' ').append(record.getMessage());
 		for (Throwable cause = record.getThrown(); cause != null; cause = cause.getCause()) {
 			line.append(" cause=\"").append(cause).append('"');
--- /dev/null
+++ b/whinjunction-core/src/test/java/io/whinjunction/log/LineTimeTests.java
@@ -0,0 +1,41 @@
+package io.whinjunction.log;
+
+import java.time.Instant;
+import java.time.temporal.ChronoUnit;
+import java.util.Random;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Times of log lines.
+ */
+class LineTimeTests {
+
+	private final LineTime time = new LineTime();
+
+	// The time of day may jump back; what was kept of a second must not be written for
+	// another one.
+	@Test
+	void timesReadBackToTheMillisecondWhereverTheyJump() {
+		Random random = new Random(3);
+		Instant instant = Instant.parse("2030-02-03T04:05:06.007Z");
+		for (int line = 0; line < 1000; line++) {
+			assertThat(Instant.parse(text(instant))).isEqualTo(instant.truncatedTo(ChronoUnit.MILLIS));
+			instant = instant.plusNanos(random.nextLong(-2_000_000_000L, 2_000_000_000L));
+		}
+	}
+
+	@Test
+	void aWholeSecondHasItsMillisecondsToo() {
+		assertThat(text(Instant.parse("2030-02-03T04:05:00Z"))).isEqualTo("2030-02-03T04:05:00.000Z");
+	}
+
+	private String text(Instant instant) {
+		StringBuilder line = new StringBuilder();
+		this.time.append(line, instant);
+		return line.toString();
+	}
+
+}
