A few routers wait at the store for changes of the upstreams, and tell the others

Cause: each change of the list ended the watch of each router.

ListWatchRota decides who waits: about four, and the holder of the lease. They tell a new revision at once to twelve others, who ask for what they miss by datagram (RecentChanges: complete runs of changes only), and so on from one to the next. Whoever isn't told in time that its list is still the newest, by an answer that is dated by its question, waits at the store itself: before two fifths of the time for which a leaving upstream still serves. Changes that weren't asked for, are old or don't reach back to the list are passed over and logged. A watch lasts 5 s and no longer 15, since a connection that went silent now concerns others too.

Tests: ListWatchRotaTests, RecentChangesTests, DirectoryKeeperTests, SharedListTests (twelve routers); RoutedRequestsTests.aLeavingUpstreamGetsNothingNew failed on a first form, in which a router that had just listed waited before its first watch.

Addresses in messages are checked without a regular expression, nine times a message.

--- a/whinjunction-protocol/src/main/thrift/router.thrift
+++ b/whinjunction-protocol/src/main/thrift/router.thrift
@@ -28,4 +28,50 @@
   13: required bool leading
   /* Age of the newest word from whoever holds the lease, passed on from one to the next; -1: none. */
   14: required i64 leaderAgeMs
+  /* The revision of the list of upstreams that it has; 0 before the first. */
+  15: required i64 listRevision
+  /* The revision with which that list last changed: between the two nothing did. */
+  16: required i64 listChangedAt
+  /* Age of the newest proof that no later revision was the platform's, when this was written; -1: none. */
+  17: required i64 listAgeMs
+  /* It waits at the store for changes of the list. */
+  18: required bool watchesList
+}
+
+/* Asks a router for what changed in the list of upstreams. */
+struct ChangesQuestion {
+  1: required i64 afterRevision
+}
+
+/* An upstream as the list has it. */
+struct ListedUpstream {
+  1: required string id
+  /* Milliseconds since 1970; -1 where it doesn't say when it started. */
+  2: required i64 bornMs
+  3: required string serviceName
+  4: required string address
+  5: required string failureDomain
+  6: required i32 slots
+  /* Of a plain service: none. */
+  7: optional string kind
+  /* First layer held, and one past the last; both 0 where it holds none. */
+  8: required i32 firstLayer
+  9: required i32 endLayer
+  10: required bool leaving
+}
+
+/* All changes of the list of upstreams after one revision and up to another. */
+struct ChangesAnswer {
+  1: required i64 afterRevision
+  /* Not larger than afterRevision where the changes are not known, or too many for a datagram. */
+  2: required i64 revision
+  3: required list<ListedUpstream> changed
+  4: required list<string> removed
+}
+
+/* What stands in a datagram. */
+union RouterMessage {
+  1: RouterStatus status
+  2: ChangesQuestion changesQuestion
+  3: ChangesAnswer changesAnswer
 }
--- a/whinjunction-router/src/main/java/io/whinjunction/router/Addresses.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/Addresses.java
@@ -11,6 +11,8 @@
 
 	private static final int MOST_PORT = 65_535;
 
+	private static final int MOST_PORT_DIGITS = 5;
+
 	private Addresses() {
 	}
 
@@ -22,9 +24,23 @@
 	 */
 	public static boolean valid(String text) {
 		int colon = (text != null) ? text.indexOf(':') : -1;
-		return colon > 0 && NetUtil.isValidIpV4Address(text.substring(0, colon))
-				&& text.substring(colon + 1).matches("[1-9][0-9]{0,4}")
-				&& Integer.parseInt(text.substring(colon + 1)) <= MOST_PORT;
+		return colon > 0 && NetUtil.isValidIpV4Address(text.substring(0, colon)) && validPort(text, colon + 1);
+	}
+
+	private static boolean validPort(String text, int from) {
+		int digits = text.length() - from;
+		if (digits < 1 || digits > MOST_PORT_DIGITS || text.charAt(from) == '0') {
+			return false;
+		}
+		int port = 0;
+		for (int index = from; index < text.length(); index++) {
+			char digit = text.charAt(index);
+			if (digit < '0' || digit > '9') {
+				return false;
+			}
+			port = 10 * port + digit - '0';
+		}
+		return port <= MOST_PORT;
 	}
 
 	/**
--- a/whinjunction-router/src/main/java/io/whinjunction/router/HeardRouters.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/HeardRouters.java
@@ -28,6 +28,8 @@
 	/** The few that say of engines that they are slow. */
 	private final Map<String, PeerStatus> tellingPaces = new HashMap<>();
 
+	private int listWatchers;
+
 	/**
 	 * Nobody was heard yet.
 	 * @param silentMs after how long a router that wasn't heard is left out, in
@@ -51,6 +53,7 @@
 		if (!status.paceByEngine().isEmpty()) {
 			this.tellingPaces.put(status.address(), status);
 		}
+		this.listWatchers += status.list().watching() ? 1 : 0;
 	}
 
 	private void remove(String address) {
@@ -62,6 +65,7 @@
 
 	private void takeBack(PeerStatus status) {
 		this.tellingPaces.remove(status.address());
+		this.listWatchers -= status.list().watching() ? 1 : 0;
 		status.tokenLayersByEngine().forEach((engineId, tokenLayers) -> {
 			Sum sum = this.byEngine.get(engineId);
 			sum.takeBack(tokenLayers);
@@ -145,6 +149,16 @@
 		return (sum != null) ? sum.tokenLayers : 0;
 	}
 
+	/**
+	 * How many of them wait at the store for changes of the list of upstreams.
+	 * @param nowMs the time
+	 * @return the number
+	 */
+	int listWatchers(long nowMs) {
+		leaveOutSilent(nowMs);
+		return this.listWatchers;
+	}
+
 	/**
 	 * How much slower than usual an engine works.
 	 * @param engineId the engine's incarnation
--- a/whinjunction-router/src/main/java/io/whinjunction/router/PeerLink.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/PeerLink.java
@@ -2,9 +2,8 @@
 
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BiFunction;
-import java.util.function.Consumer;
 
 import com.google.common.flogger.FluentLogger;
 import io.netty.bootstrap.Bootstrap;
@@ -40,9 +39,7 @@
 
 	private final PeerTable table;
 
-	private final BiFunction<Long, Boolean, PeerStatus> own;
-
-	private final Consumer<PeerStatus> heard;
+	private final Handler handler;
 
 	private final RouterContext router;
 
@@ -54,17 +51,13 @@
 	 * A link.
 	 * @param router the clocks
 	 * @param table whom to ask
-	 * @param own makes this router's status, for a question's number and whether it is an
-	 * answer
-	 * @param heard takes what others said
+	 * @param handler what this router says, and what it does with what others said
 	 */
-	PeerLink(RouterContext router, PeerTable table, BiFunction<Long, Boolean, PeerStatus> own,
-			Consumer<PeerStatus> heard) {
+	PeerLink(RouterContext router, PeerTable table, Handler handler) {
 		this.router = router;
 		this.loop = router.loop();
 		this.table = table;
-		this.own = own;
-		this.heard = heard;
+		this.handler = handler;
 	}
 
 	/**
@@ -109,23 +102,75 @@
 		if (targets.isEmpty()) {
 			return;
 		}
-		byte[] bytes = this.codec.encode(this.own.apply(this.table.ask(this.router.bootMs()), false));
+		byte[] bytes = this.codec.encode(this.handler.status(this.table.ask(this.router.bootMs()), false));
 		for (String target : targets) {
 			send(bytes, Addresses.parse(target));
 		}
 	}
 
+	/**
+	 * Asks a router for changes of the list of upstreams.
+	 * @param address where it takes messages
+	 * @param afterRevision the revision that this router has
+	 */
+	void askForChanges(String address, long afterRevision) {
+		send(this.codec.encode(new PeerMessage.ChangesQuestion(afterRevision)), Addresses.parse(address));
+	}
+
 	private void take(DatagramPacket packet) {
-		this.codec.decode(ByteBufUtil.getBytes(packet.content())).ifPresentOrElse((status) -> {
-			this.heard.accept(status);
-			if (!status.answer()) {
-				send(this.codec.encode(this.own.apply(status.sequence(), true)), packet.sender());
+		Optional<PeerMessage> message = this.codec.decode(ByteBufUtil.getBytes(packet.content()));
+		if (message.isEmpty()) {
+			logger.atWarning().log("event=datagram-unreadable from=%s", packet.sender());
+			return;
+		}
+		switch (message.get()) {
+			case PeerStatus status -> {
+				this.handler.heard(status);
+				if (!status.answer()) {
+					send(this.codec.encode(this.handler.status(status.sequence(), true)), packet.sender());
+				}
 			}
-		}, () -> logger.atWarning().log("event=datagram-unreadable from=%s", packet.sender()));
+			case PeerMessage.ChangesQuestion question -> send(this.codec
+				.encode(new PeerMessage.ChangesAnswer(this.handler.changesAfter(question.afterRevision()))),
+					packet.sender());
+			case PeerMessage.ChangesAnswer answer -> this.handler.told(answer.changes());
+		}
 	}
 
 	private void send(byte[] bytes, InetSocketAddress target) {
 		this.channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(bytes), target));
 	}
 
+	/** What this router says, and what it does with what others said. */
+	interface Handler {
+
+		/**
+		 * Makes this router's status.
+		 * @param sequence the question's number
+		 * @param answer whether it answers one
+		 * @return the status
+		 */
+		PeerStatus status(long sequence, boolean answer);
+
+		/**
+		 * Takes what another router said of itself.
+		 * @param status what it said
+		 */
+		void heard(PeerStatus status);
+
+		/**
+		 * What changed in the list of upstreams.
+		 * @param afterRevision the revision that the asking router has
+		 * @return the changes, where they are known
+		 */
+		UpstreamChanges changesAfter(long afterRevision);
+
+		/**
+		 * Takes what another router says has changed.
+		 * @param changes the changes
+		 */
+		void told(UpstreamChanges changes);
+
+	}
+
 }
--- /dev/null
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/PeerMessage.java
@@ -0,0 +1,25 @@
+package io.whinjunction.router;
+
+/**
+ * What a datagram from one router to another says. Immutable.
+ */
+sealed interface PeerMessage permits PeerStatus, PeerMessage.ChangesQuestion, PeerMessage.ChangesAnswer {
+
+	/**
+	 * Asks for what changed in the list of upstreams.
+	 *
+	 * @param afterRevision the revision that the asking router has
+	 */
+	record ChangesQuestion(long afterRevision) implements PeerMessage {
+	}
+
+	/**
+	 * What changed, or that it has to be read from the store.
+	 *
+	 * @param changes the changes; without any, and with no later revision, where they are
+	 * not known or too many to be told
+	 */
+	record ChangesAnswer(UpstreamChanges changes) implements PeerMessage {
+	}
+
+}
--- a/whinjunction-router/src/main/java/io/whinjunction/router/PeerStatus.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/PeerStatus.java
@@ -23,10 +23,12 @@
  * @param leading whether it holds the lease under which layers are ordered
  * @param leaderAgeMs the age of the newest word from whoever holds that lease, in
  * milliseconds; -1 where none was heard
+ * @param list how it knows the list of upstreams
  */
 record PeerStatus(String name, String address, String failureDomain, long sequence, boolean answer, long version,
 		long proofAgeMs, List<String> suspects, Map<String, Long> tokenLayersByEngine, List<String> routers,
-		boolean leaving, Map<String, Double> paceByEngine, boolean leading, long leaderAgeMs) {
+		boolean leaving, Map<String, Double> paceByEngine, boolean leading, long leaderAgeMs, ListState list)
+		implements PeerMessage {
 
 	PeerStatus {
 		suspects = List.copyOf(suspects);
--- a/whinjunction-router/src/main/java/io/whinjunction/router/PeerTable.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/PeerTable.java
@@ -118,8 +118,22 @@
 	 * nothing
 	 */
 	long provedAtMs(PeerStatus status) {
+		return heldAtMs(status, status.proofAgeMs());
+	}
+
+	/**
+	 * When another router's list of upstreams was the newest for certain, by its answer.
+	 * @param status the answer
+	 * @return the time on the clock of proofs, or {@link Long#MIN_VALUE} where it proves
+	 * nothing
+	 */
+	long listProvedAtMs(PeerStatus status) {
+		return heldAtMs(status, status.list().ageMs());
+	}
+
+	private long heldAtMs(PeerStatus status, long ageMs) {
 		Long askedMs = status.answer() ? this.askedAtMs.get(status.sequence()) : null;
-		return (askedMs == null || status.proofAgeMs() < 0) ? Long.MIN_VALUE : askedMs - status.proofAgeMs();
+		return (askedMs == null || ageMs < 0) ? Long.MIN_VALUE : askedMs - ageMs;
 	}
 
 	/**
@@ -204,8 +218,21 @@
 	 * @return tokens times layers, by what they said last
 	 */
 	long tokenLayersAt(String engineId, long nowMs) {
-		double unheard = Math.max(1, this.byAddress.size() / MOST_HEARD);
-		return (long) (this.heard.tokenLayersAt(engineId, nowMs) * unheard);
+		return (long) (this.heard.tokenLayersAt(engineId, nowMs) * knownToHeard());
+	}
+
+	private double knownToHeard() {
+		return Math.max(1, this.byAddress.size() / MOST_HEARD);
+	}
+
+	/**
+	 * How many other routers wait at the store for changes of the list of upstreams.
+	 * @param nowMs the time
+	 * @return the number, routers that can't have been heard taken for alike to those
+	 * that were
+	 */
+	double listWatchers(long nowMs) {
+		return this.heard.listWatchers(nowMs) * knownToHeard();
 	}
 
 	private void hearOfLeader(PeerStatus status, long nowMs) {
--- /dev/null
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/RecentChanges.java
@@ -0,0 +1,91 @@
+package io.whinjunction.router;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * The last changes of the list of upstreams, for routers that ask what they have missed.
+ * <p>
+ * Invariants: each entry goes on where the one before it ends, so that any run of them
+ * that reaches the end is complete; at most {@link #MOST_KEPT} are kept. Confined to the
+ * event loop.
+ */
+final class RecentChanges {
+
+	/** Changes that are kept: those of several seconds in which each is noticed alone. */
+	private static final int MOST_KEPT = 32;
+
+	/** Bounds a datagram: upstreams and names in one answer. */
+	private static final int MOST_TOLD = 40;
+
+	private final Deque<UpstreamChanges> kept = new ArrayDeque<>();
+
+	/**
+	 * Notes changes that have just been applied.
+	 * @param changes the changes
+	 * @param heldBefore the revision of the list before them
+	 */
+	void add(UpstreamChanges changes, long heldBefore) {
+		if (!this.kept.isEmpty() && this.kept.getLast().revision() != heldBefore) {
+			this.kept.clear();
+		}
+		this.kept.addLast(changes);
+		if (this.kept.size() > MOST_KEPT) {
+			this.kept.removeFirst();
+		}
+	}
+
+	/**
+	 * Notes that nothing has changed.
+	 * @param heldBefore the revision up to which this was known before
+	 * @param revision the revision up to which it is known now
+	 */
+	void unchanged(long heldBefore, long revision) {
+		if (!this.kept.isEmpty() && this.kept.getLast().revision() == heldBefore) {
+			UpstreamChanges last = this.kept.removeLast();
+			this.kept.addLast(new UpstreamChanges(last.afterRevision(), last.changed(), last.removed(), revision));
+		}
+	}
+
+	/**
+	 * What changed after a revision.
+	 * @param revision the revision
+	 * @return all changes since, or {@link UpstreamChanges#unknownAfter} where they aren't
+	 * all kept, or are too many
+	 */
+	UpstreamChanges after(long revision) {
+		if (this.kept.isEmpty() || this.kept.getFirst().afterRevision() > revision
+				|| this.kept.getLast().revision() <= revision) {
+			return UpstreamChanges.unknownAfter(revision);
+		}
+		Map<String, Upstream> changed = new LinkedHashMap<>();
+		Set<String> removed = new LinkedHashSet<>();
+		for (UpstreamChanges changes : this.kept) {
+			if (changes.revision() > revision) {
+				apply(changes, changed, removed);
+			}
+		}
+		if (changed.size() + removed.size() > MOST_TOLD) {
+			return UpstreamChanges.unknownAfter(revision);
+		}
+		return new UpstreamChanges(revision, List.copyOf(changed.values()), List.copyOf(removed),
+				this.kept.getLast().revision());
+	}
+
+	private static void apply(UpstreamChanges changes, Map<String, Upstream> changed, Set<String> removed) {
+		for (Upstream upstream : changes.changed()) {
+			changed.put(upstream.id(), upstream);
+			removed.remove(upstream.id());
+		}
+		for (String id : changes.removed()) {
+			changed.remove(id);
+			removed.add(id);
+		}
+	}
+
+}
--- a/whinjunction-router/src/main/java/io/whinjunction/router/Router.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/Router.java
@@ -149,7 +149,7 @@
 		this.pool = new UpstreamPool(this.loop, this.dialect, this.ticker);
 		this.directory = new UpstreamDirectory((upstream) -> this.pool.drop(upstream.incarnation()));
 		this.watch = new EngineWatch(this, ports.engines(), this::engineNews, () -> leadership().holds());
-		this.peerLink = new PeerLink(this, this.peers, this::ownStatus, this::peerHeard);
+		this.peerLink = new PeerLink(this, this.peers, new PeerHandler());
 		this.store = ports.store();
 		this.engines = ports.engines();
 		this.configurationKeeper = new ConfigurationKeeper(this.loop, ports.store(), this.proof, boot,
@@ -159,8 +159,8 @@
 		this.layerKeeper = new LayerKeeper(this, ports.engines(), this.leadership);
 		this.chooser = new TargetChooser(this.directory, this.peers, this.layerKeeper.paces(),
 				settings.failureDomain());
-		this.directoryKeeper = new DirectoryKeeper(this.loop, ports.store(), this.directory, this::directoryChanged,
-				() -> WatchPause.ms(this.peers.sharers(nowMs()), settings.bounds().drainMs()));
+		this.directoryKeeper = new DirectoryKeeper(this, ports.store(), new DirectoryListener(),
+				() -> this.leadership.holds(), settings.bounds().drainMs());
 	}
 
 	/**
@@ -194,11 +194,6 @@
 		return this.leadership;
 	}
 
-	private void directoryChanged() {
-		listenWhenKnown();
-		this.layerKeeper.plan();
-	}
-
 	// Callers are let in when there is something to say to them: a request that came a
 	// tenth of a second sooner would only be refused.
 	private void listenWhenKnown() {
@@ -227,21 +222,6 @@
 		});
 	}
 
-	private PeerStatus ownStatus(long sequence, boolean answer) {
-		long ageMs = this.proof.ageMs(this.boot.nowMs());
-		long version = (configuration() != null) ? configuration().version() : -1;
-		return new PeerStatus(this.settings.name(), text(this.settings.peers()), this.settings.failureDomain(),
-				sequence, answer, version, (ageMs < this.settings.bounds().keysMs()) ? ageMs : -1,
-				this.watch.suspects(), this.directory.busiest(MOST_ENGINES_TOLD), this.peers.toTell(nowMs()),
-				stopping(), this.layerKeeper.paces(), this.leadership.holds(), this.peers.leaderAgeMs(nowMs()));
-	}
-
-	private void peerHeard(PeerStatus status) {
-		this.peers.heard(status, nowMs());
-		status.suspects().forEach(this.watch::hearsay);
-		this.configurationKeeper.heard(status.version(), this.peers.provedAtMs(status), status.address());
-	}
-
 	private void engineNews() {
 		this.peerLink.tellNow();
 		this.layerKeeper.plan();
@@ -455,6 +435,64 @@
 		this.stopAdmission.answered(family, tookMs);
 	}
 
+	/** This router's side of what routers say to each other. */
+	private final class PeerHandler implements PeerLink.Handler {
+
+		@Override
+		public PeerStatus status(long sequence, boolean answer) {
+			Router router = Router.this;
+			long ageMs = router.proof.ageMs(router.boot.nowMs());
+			long version = (configuration() != null) ? configuration().version() : -1;
+			return new PeerStatus(router.settings.name(), text(router.settings.peers()),
+					router.settings.failureDomain(), sequence, answer, version,
+					(ageMs < router.settings.bounds().keysMs()) ? ageMs : -1, router.watch.suspects(),
+					router.directory.busiest(MOST_ENGINES_TOLD), router.peers.toTell(nowMs()), stopping(),
+					router.layerKeeper.paces(), router.leadership.holds(), router.peers.leaderAgeMs(nowMs()),
+					router.directoryKeeper.state());
+		}
+
+		@Override
+		public void heard(PeerStatus status) {
+			Router router = Router.this;
+			router.peers.heard(status, nowMs());
+			status.suspects().forEach(router.watch::hearsay);
+			router.configurationKeeper.heard(status.version(), router.peers.provedAtMs(status), status.address());
+			router.directoryKeeper.heard(status.address(), status.list(), router.peers.listProvedAtMs(status));
+		}
+
+		@Override
+		public UpstreamChanges changesAfter(long afterRevision) {
+			return Router.this.directoryKeeper.changesAfter(afterRevision);
+		}
+
+		@Override
+		public void told(UpstreamChanges changes) {
+			Router.this.directoryKeeper.told(changes);
+		}
+
+	}
+
+	/** What follows from changes of the list of upstreams. */
+	private final class DirectoryListener implements DirectoryKeeper.Listener {
+
+		@Override
+		public void changed() {
+			listenWhenKnown();
+			Router.this.layerKeeper.plan();
+		}
+
+		@Override
+		public void tellOthers() {
+			Router.this.peerLink.tellNow();
+		}
+
+		@Override
+		public void askForChanges(String address, long afterRevision) {
+			Router.this.peerLink.askForChanges(address, afterRevision);
+		}
+
+	}
+
 	/**
 	 * What a router speaks with the platform. Immutable.
 	 *
--- a/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamDirectory.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamDirectory.java
@@ -76,6 +76,25 @@
 		upstreams.forEach(this::put);
 	}
 
+	/**
+	 * What a newer list changes.
+	 * @param listing the list
+	 * @param revision the revision of what is known
+	 * @return the changes from here to there
+	 */
+	UpstreamChanges changesTo(UpstreamListing listing, long revision) {
+		Set<String> gone = new HashSet<>(this.byId.keySet());
+		List<Upstream> changed = new ArrayList<>();
+		for (Upstream upstream : listing.upstreams()) {
+			gone.remove(upstream.id());
+			UpstreamState known = this.byId.get(upstream.id());
+			if (known == null || !known.upstream().equals(upstream)) {
+				changed.add(upstream);
+			}
+		}
+		return new UpstreamChanges(revision, changed, List.copyOf(gone), listing.revision());
+	}
+
 	/**
 	 * Takes changes.
 	 * @param changes the changes
--- /dev/null
+++ b/whinjunction-router/src/test/java/io/whinjunction/router/DirectoryKeeperTests.java
@@ -0,0 +1,176 @@
+package io.whinjunction.router;
+
+import java.lang.reflect.Proxy;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+import io.netty.channel.DefaultEventLoop;
+import io.netty.channel.EventLoop;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * What a router does with changes of the list of upstreams that others tell.
+ */
+class DirectoryKeeperTests {
+
+	private static final long DRAIN_MS = 2000;
+
+	private final EventLoop loop = new DefaultEventLoop();
+
+	private final UpstreamDirectory directory = new UpstreamDirectory((upstream) -> {
+	});
+
+	private final PeerTable peers = new PeerTable("10.0.0.1:1", new Random(1));
+
+	private final List<Long> asked = new ArrayList<>();
+
+	private final List<Consumer<StoreReply<UpstreamListing>>> lists = new ArrayList<>();
+
+	private final List<Consumer<StoreReply<UpstreamChanges>>> watches = new ArrayList<>();
+
+	private long nowMs = 100_000;
+
+	private int told;
+
+	private final DirectoryKeeper keeper = new DirectoryKeeper(context(), store(), new DirectoryKeeper.Listener() {
+
+		@Override
+		public void changed() {
+		}
+
+		@Override
+		public void tellOthers() {
+			DirectoryKeeperTests.this.told++;
+		}
+
+		@Override
+		public void askForChanges(String address, long afterRevision) {
+			DirectoryKeeperTests.this.asked.add(afterRevision);
+		}
+
+	}, () -> false, DRAIN_MS);
+
+	@BeforeEach
+	void list() {
+		this.keeper.start();
+		this.lists.getFirst()
+			.accept(new StoreReply.Found<>(new UpstreamListing(List.of(upstream("a", 1), upstream("b", 1)), 10)));
+	}
+
+	@AfterEach
+	void stop() {
+		this.loop.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS).awaitUninterruptibly();
+	}
+
+	@Test
+	void whatAnotherRouterKnowsBeyondOnesOwnListIsAskedForAndApplied() {
+		hear(new ListState(12, 12, 0, true));
+
+		assertThat(this.asked).containsExactly(10L);
+
+		this.keeper.told(new UpstreamChanges(10, List.of(upstream("c", 1)), List.of("a"), 12));
+		assertThat(this.directory.find("a")).isNull();
+		assertThat(this.directory.find("c")).isNotNull();
+		assertThat(this.keeper.state().revision()).isEqualTo(12);
+	}
+
+	// A request goes to an upstream that has left, or to one that nobody listed: changes
+	// come late, twice, from another life of a router or from whoever reaches the port.
+	// What doesn't answer the last question, or doesn't reach back to the list, is
+	// passed over.
+	@Test
+	void changesThatAreUnaskedLateDoubledOrCutShortChangeNothing() {
+		UpstreamChanges changes = new UpstreamChanges(10, List.of(), List.of("a"), 12);
+
+		this.keeper.told(changes);
+		assertThat(this.directory.size()).isEqualTo(2);
+
+		hear(new ListState(14, 12, 0, true));
+		this.keeper.told(new UpstreamChanges(11, List.of(), List.of("a"), 14));
+		assertThat(this.directory.size()).isEqualTo(2);
+
+		this.keeper.told(changes);
+		assertThat(this.directory.size()).isEqualTo(1);
+
+		this.nowMs += 1000;
+		hear(new ListState(16, 16, 0, true));
+		this.keeper.told(new UpstreamChanges(10, List.of(upstream("a", 1)), List.of(), 12));
+		assertThat(this.directory.size()).isEqualTo(1);
+		assertThat(this.keeper.state().revision()).isEqualTo(12);
+	}
+
+	// Each lease that is renewed moves the store's revision on, and each router would ask
+	// each other one what has changed: nothing has.
+	@Test
+	void aLaterRevisionWithoutChangesIsTakenOverWithoutAQuestion() {
+		hear(new ListState(40, 9, 0, true));
+
+		assertThat(this.asked).isEmpty();
+		assertThat(this.keeper.state().revision()).isEqualTo(40);
+		assertThat(this.keeper.state().changedAt()).isEqualTo(10);
+	}
+
+	@Test
+	void whatTheStoreSaysIsToldToOthers() {
+		this.watches.getFirst()
+			.accept(new StoreReply.Found<>(new UpstreamChanges(10, List.of(upstream("c", 1)), List.of(), 13)));
+
+		assertThat(this.told).isEqualTo(1);
+		assertThat(this.keeper.changesAfter(10).changed()).containsExactly(upstream("c", 1));
+	}
+
+	// The history is gone, and everybody would have to list anew: what the new list has
+	// changed is told like any change.
+	@Test
+	void whatANewListHasChangedIsKnownToThoseWhoAsk() {
+		this.watches.getFirst().accept(new StoreReply.Outdated<>());
+		this.lists.getLast()
+			.accept(new StoreReply.Found<>(new UpstreamListing(List.of(upstream("a", 2), upstream("c", 1)), 30)));
+
+		assertThat(this.keeper.changesAfter(10))
+			.isEqualTo(new UpstreamChanges(10, List.of(upstream("a", 2), upstream("c", 1)), List.of("b"), 30));
+	}
+
+	private void hear(ListState state) {
+		this.keeper.heard("10.0.0.2:1", state, this.nowMs);
+	}
+
+	private static Upstream upstream(String id, int slots) {
+		return new Upstream(id, Upstream.BORN_UNKNOWN, "s", "10.0.0." + (id.charAt(0) - 'a' + 1) + ":80", "a", slots,
+				null, null, false);
+	}
+
+	private RouterContext context() {
+		Map<String, Object> answers = Map.of("loop", this.loop, "directory", this.directory, "peers", this.peers);
+		return (RouterContext) Proxy.newProxyInstance(getClass().getClassLoader(),
+				new Class<?>[] { RouterContext.class },
+				(proxy, method, args) -> answers.getOrDefault(method.getName(), this.nowMs));
+	}
+
+	private FleetStore store() {
+		return (FleetStore) Proxy.newProxyInstance(getClass().getClassLoader(), new Class<?>[] { FleetStore.class },
+				(proxy, method, args) -> {
+					if (method.getName().equals("listUpstreams")) {
+						this.lists.add(consumer(args));
+					}
+					else if (method.getName().equals("watchUpstreams")) {
+						this.watches.add(consumer(args));
+					}
+					return null;
+				});
+	}
+
+	@SuppressWarnings("unchecked")
+	private static <T> Consumer<StoreReply<T>> consumer(Object[] args) {
+		return (Consumer<StoreReply<T>>) args[args.length - 1];
+	}
+
+}
--- /dev/null
+++ b/whinjunction-router/src/test/java/io/whinjunction/router/RecentChangesTests.java
@@ -0,0 +1,98 @@
+package io.whinjunction.router;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.IntStream;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * What a router can tell another of the list of upstreams.
+ */
+class RecentChangesTests {
+
+	private final RecentChanges recent = new RecentChanges();
+
+	@Test
+	void changesAreToldFromAnyRevisionThatTheyReachBackTo() {
+		add(10, 12, List.of(upstream("a", 1)), List.of());
+		add(12, 15, List.of(upstream("a", 2)), List.of("b"));
+
+		assertThat(this.recent.after(12))
+			.isEqualTo(new UpstreamChanges(12, List.of(upstream("a", 2)), List.of("b"), 15));
+		assertThat(this.recent.after(10).changed()).containsExactly(upstream("a", 2));
+		assertThat(this.recent.after(11).revision()).isEqualTo(15);
+	}
+
+	@Test
+	void anUpstreamThatCameAndWentIsToldAsGone() {
+		add(10, 12, List.of(upstream("a", 1)), List.of());
+		add(12, 13, List.of(), List.of("a"));
+		add(13, 14, List.of(upstream("c", 1)), List.of());
+
+		assertThat(this.recent.after(10).removed()).containsExactly("a");
+		assertThat(this.recent.after(10).changed()).containsExactly(upstream("c", 1));
+	}
+
+	// A router misses a change for good: it asks another one that has begun later, takes
+	// the changes since then for all, and goes on from their revision.
+	@Test
+	void whatIsNotKnownWholeIsNotTold() {
+		add(10, 12, List.of(upstream("a", 1)), List.of());
+
+		assertThat(this.recent.after(9)).isEqualTo(UpstreamChanges.unknownAfter(9));
+		assertThat(this.recent.after(12)).isEqualTo(UpstreamChanges.unknownAfter(12));
+
+		add(20, 22, List.of(upstream("b", 1)), List.of());
+		assertThat(this.recent.after(10)).isEqualTo(UpstreamChanges.unknownAfter(10));
+		assertThat(this.recent.after(20).revision()).isEqualTo(22);
+	}
+
+	@Test
+	void whatIsTooMuchForADatagramIsNotTold() {
+		add(10, 12, IntStream.range(0, 41).mapToObj((index) -> upstream("u" + index, 1)).toList(), List.of());
+
+		assertThat(this.recent.after(10)).isEqualTo(UpstreamChanges.unknownAfter(10));
+	}
+
+	@Test
+	void aTimeWithoutChangesIsPassedOnWithTheLastOnes() {
+		add(10, 12, List.of(upstream("a", 1)), List.of());
+		this.recent.unchanged(12, 30);
+
+		assertThat(this.recent.after(10).revision()).isEqualTo(30);
+	}
+
+	@Test
+	void noMoreThanTheLastChangesAreKept() {
+		for (int revision = 0; revision < 1000; revision++) {
+			add(revision, revision + 1, List.of(upstream("a", revision)), List.of());
+		}
+
+		assertThat(this.recent.after(0)).isEqualTo(UpstreamChanges.unknownAfter(0));
+		assertThat(this.recent.after(990).revision()).isEqualTo(1000);
+	}
+
+	// A change is applied twice, or a later one is undone by one that was under way for
+	// long: only what goes on from the list that is held extends it.
+	@Test
+	void changesThatAreLateDoubledOrDoNotReachBackExtendNothing() {
+		UpstreamChanges changes = new UpstreamChanges(10, List.of(), List.of("a"), 12);
+
+		assertThat(changes.extend(10)).isTrue();
+		assertThat(changes.extend(11)).isTrue();
+		assertThat(changes.extend(12)).isFalse();
+		assertThat(changes.extend(9)).isFalse();
+	}
+
+	private void add(long after, long revision, List<Upstream> changed, List<String> removed) {
+		this.recent.add(new UpstreamChanges(after, new ArrayList<>(changed), removed, revision), after);
+	}
+
+	private static Upstream upstream(String id, int slots) {
+		return new Upstream(id, Upstream.BORN_UNKNOWN, "s", "10.0.0.1:80", "a", slots, null, null, false);
+	}
+
+}
