A router looks up its own load once a period of questions, not once a message

Some thirty messages a second each looked through all engines and sorted them (6 of 64 samples of one process in the making of a status). Others use it when it is a second old or more.

--- a/whinjunction-router/src/main/java/io/whinjunction/router/DirectoryKeeper.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/DirectoryKeeper.java
@@ -150,7 +150,7 @@
 		this.provedAtMs = Math.max(this.provedAtMs, askedBootMs);
 		logger.atInfo()
 			.log("event=upstreams-listed count=%d revision=%d", this.router.directory().size(), this.revision);
-		step();
+		goOn(false);
 	}
 
 	private void step() {
@@ -209,6 +209,8 @@
 		}
 	}
 
+	// Whoever has just listed or watched waits at the store while few others do, so that
+	// a router that is alone misses nothing.
 	private void goOn(boolean changed) {
 		double others = this.router.peers().listWatchers(this.router.nowMs());
 		boolean goesOn = this.leads.getAsBoolean() || this.rota.goesOn(others);
@@ -249,8 +251,8 @@
 	 * Hears how another router knows the list.
 	 * @param address where it takes messages
 	 * @param theirs what it said
-	 * @param theirProvedAtMs when its revision was the newest for certain, on the clock of
-	 * proofs
+	 * @param theirProvedAtMs when its revision was the newest for certain, on the clock
+	 * of proofs
 	 */
 	void heard(String address, ListState theirs, long theirProvedAtMs) {
 		if (!this.listed) {
--- a/whinjunction-router/src/main/java/io/whinjunction/router/ListWatchRota.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/ListWatchRota.java
@@ -11,8 +11,8 @@
  * same news sooner.
  * <p>
  * A router that isn't told in time that its list is still the newest waits at the store
- * itself, so that losing all who waited, or being cut off from them, delays news but never
- * loses it. Confined to one thread.
+ * itself, so that losing all who waited, or being cut off from them, delays news but
+ * never loses it. Confined to one thread.
  */
 final class ListWatchRota {
 
--- a/whinjunction-router/src/main/java/io/whinjunction/router/PeerCodec.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/PeerCodec.java
@@ -37,8 +37,8 @@
 	byte[] encode(PeerMessage message) {
 		RouterMessage encoded = switch (message) {
 			case PeerStatus status -> RouterMessage.status(encoded(status));
-			case PeerMessage.ChangesQuestion question -> RouterMessage.changesQuestion(
-					new io.whinjunction.protocol.generated.ChangesQuestion(question.afterRevision()));
+			case PeerMessage.ChangesQuestion question -> RouterMessage
+				.changesQuestion(new io.whinjunction.protocol.generated.ChangesQuestion(question.afterRevision()));
 			case PeerMessage.ChangesAnswer answer -> RouterMessage.changesAnswer(encoded(answer.changes()));
 		};
 		try {
@@ -52,10 +52,9 @@
 	private static RouterStatus encoded(PeerStatus status) {
 		ListState list = status.list();
 		return new RouterStatus(status.name(), status.address(), status.failureDomain(), status.sequence(),
-				status.answer(), status.version(), status.proofAgeMs(), status.suspects(),
-				status.tokenLayersByEngine(), status.routers(), status.leaving(), status.paceByEngine(),
-				status.leading(), status.leaderAgeMs(), list.revision(), list.changedAt(), list.ageMs(),
-				list.watching());
+				status.answer(), status.version(), status.proofAgeMs(), status.suspects(), status.tokenLayersByEngine(),
+				status.routers(), status.leaving(), status.paceByEngine(), status.leading(), status.leaderAgeMs(),
+				list.revision(), list.changedAt(), list.ageMs(), list.watching());
 	}
 
 	private static ChangesAnswer encoded(UpstreamChanges changes) {
@@ -123,8 +122,8 @@
 			}
 			changed.add(decoded(listed));
 		}
-		return Optional.of(new PeerMessage.ChangesAnswer(new UpstreamChanges(answer.getAfterRevision(), changed,
-				answer.getRemoved(), answer.getRevision())));
+		return Optional.of(new PeerMessage.ChangesAnswer(
+				new UpstreamChanges(answer.getAfterRevision(), changed, answer.getRemoved(), answer.getRevision())));
 	}
 
 	private static Upstream decoded(ListedUpstream listed) {
--- a/whinjunction-router/src/main/java/io/whinjunction/router/PeerLink.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/PeerLink.java
@@ -130,8 +130,9 @@
 					send(this.codec.encode(this.handler.status(status.sequence(), true)), packet.sender());
 				}
 			}
-			case PeerMessage.ChangesQuestion question -> send(this.codec
-				.encode(new PeerMessage.ChangesAnswer(this.handler.changesAfter(question.afterRevision()))),
+			case PeerMessage.ChangesQuestion question -> send(
+					this.codec
+						.encode(new PeerMessage.ChangesAnswer(this.handler.changesAfter(question.afterRevision()))),
 					packet.sender());
 			case PeerMessage.ChangesAnswer answer -> this.handler.told(answer.changes());
 		}
--- a/whinjunction-router/src/main/java/io/whinjunction/router/PeerStatus.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/PeerStatus.java
@@ -27,8 +27,8 @@
  */
 record PeerStatus(String name, String address, String failureDomain, long sequence, boolean answer, long version,
 		long proofAgeMs, List<String> suspects, Map<String, Long> tokenLayersByEngine, List<String> routers,
-		boolean leaving, Map<String, Double> paceByEngine, boolean leading, long leaderAgeMs, ListState list)
-		implements PeerMessage {
+		boolean leaving, Map<String, Double> paceByEngine, boolean leading, long leaderAgeMs,
+		ListState list) implements PeerMessage {
 
 	PeerStatus {
 		suspects = List.copyOf(suspects);
--- a/whinjunction-router/src/main/java/io/whinjunction/router/RecentChanges.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/RecentChanges.java
@@ -55,8 +55,8 @@
 	/**
 	 * What changed after a revision.
 	 * @param revision the revision
-	 * @return all changes since, or {@link UpstreamChanges#unknownAfter} where they aren't
-	 * all kept, or are too many
+	 * @return all changes since, or {@link UpstreamChanges#unknownAfter} where they
+	 * aren't all kept, or are too many
 	 */
 	UpstreamChanges after(long revision) {
 		if (this.kept.isEmpty() || this.kept.getFirst().afterRevision() > revision
--- a/whinjunction-router/src/main/java/io/whinjunction/router/Router.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/Router.java
@@ -64,9 +64,6 @@
 	/** The pause before another try to announce, in milliseconds. */
 	private static final long ANNOUNCE_RETRY_MS = 500;
 
-	/** Bounds a message to others: engines of a failure domain that a router may use. */
-	private static final int MOST_ENGINES_TOLD = 48;
-
 	private static final int MAX_HEAD_BYTES = CallerLimits.DEFAULT.maxHeaderBytes();
 
 	private final EventLoop loop;
@@ -438,6 +435,8 @@
 	/** This router's side of what routers say to each other. */
 	private final class PeerHandler implements PeerLink.Handler {
 
+		private final ToldLoad load = new ToldLoad(Router.this.directory);
+
 		@Override
 		public PeerStatus status(long sequence, boolean answer) {
 			Router router = Router.this;
@@ -446,7 +445,7 @@
 			return new PeerStatus(router.settings.name(), text(router.settings.peers()),
 					router.settings.failureDomain(), sequence, answer, version,
 					(ageMs < router.settings.bounds().keysMs()) ? ageMs : -1, router.watch.suspects(),
-					router.directory.busiest(MOST_ENGINES_TOLD), router.peers.toTell(nowMs()), stopping(),
+					this.load.tokenLayers(nowMs()), router.peers.toTell(nowMs()), stopping(),
 					router.layerKeeper.paces(), router.leadership.holds(), router.peers.leaderAgeMs(nowMs()),
 					router.directoryKeeper.state());
 		}
--- a/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamDirectory.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamDirectory.java
@@ -247,13 +247,20 @@
 	 * @return tokens times layers, by the engine's incarnation
 	 */
 	Map<String, Long> busiest(int most) {
-		Map<String, Long> tokenLayers = new HashMap<>();
-		this.byId.values()
-			.stream()
-			.filter((state) -> state.tokenLayers() > 0)
-			.sorted(Comparator.comparingLong(UpstreamState::tokenLayers).reversed())
-			.limit(most)
-			.forEach((state) -> tokenLayers.put(state.upstream().incarnation(), state.tokenLayers()));
+		List<UpstreamState> busy = new ArrayList<>();
+		for (UpstreamState state : this.byId.values()) {
+			if (state.tokenLayers() > 0) {
+				busy.add(state);
+			}
+		}
+		if (busy.size() > most) {
+			busy.sort(Comparator.comparingLong(UpstreamState::tokenLayers).reversed());
+			busy = busy.subList(0, most);
+		}
+		Map<String, Long> tokenLayers = HashMap.newHashMap(busy.size());
+		for (UpstreamState state : busy) {
+			tokenLayers.put(state.upstream().incarnation(), state.tokenLayers());
+		}
 		return tokenLayers;
 	}
 
--- a/whinjunction-router/src/test/java/io/whinjunction/router/PeerTableTests.java
+++ b/whinjunction-router/src/test/java/io/whinjunction/router/PeerTableTests.java
@@ -147,7 +147,8 @@
 
 	private static PeerStatus status(String address, long sequence, boolean answer, long proofAgeMs) {
 		return new PeerStatus("n", address, "a", sequence, answer, 4, proofAgeMs, List.of("10.1.1.1:80"),
-				Map.of("e1", 100L), List.of("10.0.0.9:1"), false, Map.of("e1", 3.0), true, -1, new ListState(9, 7, 120, true));
+				Map.of("e1", 100L), List.of("10.0.0.9:1"), false, Map.of("e1", 3.0), true, -1,
+				new ListState(9, 7, 120, true));
 	}
 
 	private static PeerStatus ofLeader(String address, boolean leading, boolean leaving, long leaderAgeMs) {
--- a/whinjunction-router/src/test/java/io/whinjunction/router/UpstreamDirectoryTests.java
+++ b/whinjunction-router/src/test/java/io/whinjunction/router/UpstreamDirectoryTests.java
@@ -142,8 +142,8 @@
 	@Test
 	void anEntryOfAnotherServiceDoesNotTakeAnAddressOver() {
 		this.directory.replace(List.of(upstream("1", "a:1", false)));
-		this.directory.change(new UpstreamChanges(
-				1, List.of(new Upstream("x", 5, "nobody-calls", "a:1", "d", 4, null, null, false)), List.of(), 2));
+		this.directory.change(new UpstreamChanges(1,
+				List.of(new Upstream("x", 5, "nobody-calls", "a:1", "d", 4, null, null, false)), List.of(), 2));
 
 		assertThat(this.directory.findByAddress("s", "a:1").upstream().id()).isEqualTo("1");
 	}
