A few routers prove the configuration before the others read it too

All routers are proved by the same read and grow old together; at half of the bound they all read within the half second of chance, before the first one's proof had gone round. Now those that wait at the store for upstreams read at a quarter of the bound.

Routers that weren't heard are taken for alike to those that were.

Not measured alone.

--- a/whinjunction-router/src/main/java/io/whinjunction/router/ConfigurationKeeper.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/ConfigurationKeeper.java
@@ -1,6 +1,7 @@
 package io.whinjunction.router;
 
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.random.RandomGenerator;
 
 import com.google.common.flogger.FluentLogger;
@@ -14,8 +15,9 @@
  * Keeps the newest configuration in force and proves that it is the newest.
  * <p>
  * One linearizable read does both. It is repeated where no other router has proved the
- * same version for half of the time within which an accepted configuration has to be in
- * force; so the fleet reads about once a period, not each router.
+ * same version for a part of the time within which an accepted configuration has to be in
+ * force; a few routers do so sooner than the others, so the fleet reads a few times a
+ * period, and not each router once.
  * <p>
  * Invariant: the version in force never goes down. Confined to the event loop.
  */
@@ -24,11 +26,18 @@
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
 	/**
-	 * The pause between reads that succeed, as a part of the time within which an
+	 * After which age of its proof a router reads, as a part of the time within which an
 	 * accepted configuration has to be in force.
 	 */
 	private static final double PERIOD_PART = 0.5;
 
+	/**
+	 * The same for the few routers that wait at the store for changes of upstreams. All
+	 * routers of a fleet are proved by the same read and grow old together; some that
+	 * read sooner have told the others before those read too.
+	 */
+	private static final double FORERUNNER_PART = 0.25;
+
 	/** What is added to the pause by chance, as a part of the same time. */
 	private static final double SPREAD_PART = 0.125;
 
@@ -39,10 +48,12 @@
 
 	private final FleetStore store;
 
-	private final long periodMs;
+	private final long inForceMs;
 
 	private final long spreadMs;
 
+	private final BooleanSupplier runsAhead;
+
 	private final ConfigurationProof proof;
 
 	private final BootClock boot;
@@ -71,11 +82,13 @@
 	 * @param boot the clock of proofs
 	 * @param inForceMs within which time an accepted configuration must be in force, in
 	 * milliseconds
+	 * @param runsAhead whether this router is one of the few that read before the others
 	 * @param changed is run after each change
 	 */
 	ConfigurationKeeper(EventLoop loop, FleetStore store, ConfigurationProof proof, BootClock boot, long inForceMs,
-			Runnable changed) {
-		this.periodMs = (long) (PERIOD_PART * inForceMs);
+			BooleanSupplier runsAhead, Runnable changed) {
+		this.inForceMs = inForceMs;
+		this.runsAhead = runsAhead;
 		this.spreadMs = Math.max(1, (long) (SPREAD_PART * inForceMs));
 		this.changed = changed;
 		this.loop = loop;
@@ -152,7 +165,7 @@
 		if (reply instanceof StoreReply.Found<ConfigurationDocument> found) {
 			noteTouch(true, "read");
 			offer(found.value(), askedAtMs);
-			pauseMs = this.periodMs;
+			pauseMs = periodMs();
 		}
 		else {
 			noteTouch(false, reply.toString());
@@ -163,12 +176,17 @@
 		this.next = this.loop.schedule(this::readUnlessProved, pauseMs, TimeUnit.MILLISECONDS);
 	}
 
+	private long periodMs() {
+		return (long) ((this.runsAhead.getAsBoolean() ? FORERUNNER_PART : PERIOD_PART) * this.inForceMs);
+	}
+
 	private void readUnlessProved() {
 		long ageMs = this.proof.ageMs(this.boot.nowMs());
-		if (ageMs < this.periodMs) {
+		long periodMs = periodMs();
+		if (ageMs < periodMs) {
 			// Another router has read meanwhile; the pause goes on from there, and a part
 			// by chance keeps routers from reading together.
-			long pauseMs = this.periodMs - ageMs + this.random.nextLong(this.spreadMs);
+			long pauseMs = periodMs - ageMs + this.random.nextLong(this.spreadMs);
 			this.next = this.loop.schedule(this::readUnlessProved, pauseMs, TimeUnit.MILLISECONDS);
 			return;
 		}
--- a/whinjunction-router/src/main/java/io/whinjunction/router/PeerTable.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/PeerTable.java
@@ -218,21 +218,19 @@
 	 * @return tokens times layers, by what they said last
 	 */
 	long tokenLayersAt(String engineId, long nowMs) {
-		return (long) (this.heard.tokenLayersAt(engineId, nowMs) * knownToHeard());
-	}
-
-	private double knownToHeard() {
-		return Math.max(1, this.byAddress.size() / MOST_HEARD);
+		double unheard = Math.max(1, this.byAddress.size() / MOST_HEARD);
+		return (long) (this.heard.tokenLayersAt(engineId, nowMs) * unheard);
 	}
 
 	/**
 	 * How many other routers wait at the store for changes of the list of upstreams.
 	 * @param nowMs the time
-	 * @return the number, routers that can't have been heard taken for alike to those
-	 * that were
+	 * @return the number, known routers that weren't heard taken for alike to those that
+	 * were; 0 where none was
 	 */
 	double listWatchers(long nowMs) {
-		return this.heard.listWatchers(nowMs) * knownToHeard();
+		int count = this.heard.count(nowMs);
+		return (count > 0) ? (double) this.heard.listWatchers(nowMs) * this.byAddress.size() / count : 0;
 	}
 
 	private void hearOfLeader(PeerStatus status, long nowMs) {
--- a/whinjunction-router/src/main/java/io/whinjunction/router/Router.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/Router.java
@@ -150,7 +150,7 @@
 		this.store = ports.store();
 		this.engines = ports.engines();
 		this.configurationKeeper = new ConfigurationKeeper(this.loop, ports.store(), this.proof, boot,
-				settings.bounds().configurationMs(), this::listenWhenKnown);
+				settings.bounds().configurationMs(), () -> directoryKeeper().state().watching(), this::listenWhenKnown);
 		this.leadership = new Leadership(this.loop, ports.store(), settings.name(), this.ticker,
 				() -> peers().hasLeader(nowMs()));
 		this.layerKeeper = new LayerKeeper(this, ports.engines(), this.leadership);
@@ -191,6 +191,10 @@
 		return this.leadership;
 	}
 
+	private DirectoryKeeper directoryKeeper() {
+		return this.directoryKeeper;
+	}
+
 	// Callers are let in when there is something to say to them: a request that came a
 	// tenth of a second sooner would only be refused.
 	private void listenWhenKnown() {
