Answers with many changes are read whole

Found by reading: the channel reads 2,048 bytes of a datagram and cuts the rest, and an answer with forty upstreams is longer. It was dropped as unreadable, and its router went on with an old list until it looked for itself.

--- a/whinjunction-router/src/main/java/io/whinjunction/router/PeerLink.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/PeerLink.java
@@ -11,7 +11,9 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
@@ -32,6 +34,12 @@
 	/** Routers asked each period; the load of one does not grow with the fleet. */
 	static final int FANOUT = 3;
 
+	/**
+	 * The largest message, in bytes: what is longer is cut by the channel and can't be
+	 * read. A message names {@link RecentChanges#MOST_TOLD} upstreams at most.
+	 */
+	private static final int MOST_DATAGRAM_BYTES = 16_384;
+
 	/** Routers told at once of something urgent. */
 	private static final int URGENT_FANOUT = 12;
 
@@ -68,6 +76,7 @@
 	Channel start(InetSocketAddress address) {
 		this.channel = new Bootstrap().group(this.loop)
 			.channel(NioDatagramChannel.class)
+			.option(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(MOST_DATAGRAM_BYTES))
 			.handler(new SimpleChannelInboundHandler<DatagramPacket>() {
 
 				@Override
--- a/whinjunction-router/src/main/java/io/whinjunction/router/RecentChanges.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/RecentChanges.java
@@ -21,7 +21,7 @@
 	private static final int MOST_KEPT = 32;
 
 	/** Bounds a datagram: upstreams and names in one answer. */
-	private static final int MOST_TOLD = 40;
+	static final int MOST_TOLD = 40;
 
 	private final Deque<UpstreamChanges> kept = new ArrayDeque<>();
 
--- a/whinjunction-router/src/test/java/io/whinjunction/router/PeerTableTests.java
+++ b/whinjunction-router/src/test/java/io/whinjunction/router/PeerTableTests.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Random;
 
+import io.whinjunction.configuration.LayerRange;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -70,6 +71,36 @@
 		assertThat(codec.decode(new byte[] { 1, 2, 3 })).isEmpty();
 	}
 
+	// A fleet starts: each router has heard a few others, which all wait at the store,
+	// and
+	// takes these few for all that do.
+	@Test
+	void routersThatWereNotHeardAreTakenToWaitAtTheStoreLikeThoseThatWere() {
+		List<String> known = new ArrayList<>();
+		for (int index = 2; index < 96; index++) {
+			known.add("10.0.0." + index + ":1");
+		}
+		this.table.addresses(known);
+		assertThat(this.table.listWatchers(0)).isZero();
+
+		this.table.heard(status("10.0.0.2:1", 1, true, 0), 0);
+		this.table.heard(inDomain("10.0.0.3:1", "a", false), 0);
+		assertThat(this.table.listWatchers(0)).isBetween(47.0, 48.0);
+	}
+
+	@Test
+	void questionsAndAnswersOfChangesSurviveTheirCodec() {
+		Upstream engine = new Upstream("e", 7, "s", "10.0.0.1:80", "a", 8, "big", new LayerRange(0, 40), true);
+		Upstream plain = new Upstream("p", Upstream.BORN_UNKNOWN, "s", "10.0.0.2:80", "a", 8, null, null, false);
+		PeerMessage answer = new PeerMessage.ChangesAnswer(
+				new UpstreamChanges(3, List.of(engine, plain), List.of("gone"), 9));
+		PeerMessage question = new PeerMessage.ChangesQuestion(3);
+		PeerCodec codec = new PeerCodec();
+
+		assertThat(codec.decode(codec.encode(answer))).contains(answer);
+		assertThat(codec.decode(codec.encode(question))).contains(question);
+	}
+
 	// The store is asked for the lease twice a second by most of 88 routers, since each
 	// hears only some of the others and seldom the holder. The word of it is passed on,
 	// with its age, and grows old like one's own.
