--- a/whinjunction-core/src/main/java/io/whinjunction/log/LineLog.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/log/LineLog.java
@@ -25,7 +25,7 @@
  */
 public final class LineLog extends Handler {
 
-	/** Forty seconds of lines at 47 a second, the most measured on one instance. */
+	/** Lines of a busy router for longer than a reader usually stands still. */
 	private static final int CAPACITY = 2048;
 
 	/** Lines wait this long for others, in milliseconds, to be written in one call. */
--- a/whinjunction-router/src/main/java/io/whinjunction/router/Addresses.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/Addresses.java
@@ -54,4 +54,13 @@
 		return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
 	}
 
+	/**
+	 * Writes an address.
+	 * @param address an address that is resolved
+	 * @return the text that {@link #parse} reads
+	 */
+	static String text(InetSocketAddress address) {
+		return address.getAddress().getHostAddress() + ":" + address.getPort();
+	}
+
 }
--- a/whinjunction-router/src/main/java/io/whinjunction/router/EngineWatch.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/EngineWatch.java
@@ -138,8 +138,7 @@
 	}
 
 	// Whoever neither plans repairs nor has a stream there only leaves the engine alone:
-	// of 88 routers that heard of four dead engines, each asked all four, 2.5 times a
-	// second.
+	// otherwise each router of a large fleet would ask each engine that any one suspects.
 	private boolean passedByOwn(String incarnation) {
 		return this.streams.stream().anyMatch((stream) -> stream.target().engineIds().contains(incarnation));
 	}
--- /dev/null
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/PeerConversation.java
@@ -0,0 +1,75 @@
+package io.whinjunction.router;
+
+/**
+ * This router's side of what routers say to each other: what it tells of itself, and who
+ * hears of what others tell. Decides nothing. Confined to the event loop.
+ */
+final class PeerConversation implements PeerLink.Handler {
+
+	private final RouterContext router;
+
+	private final RouterSettings settings;
+
+	private final ConfigurationKeeper configurationKeeper;
+
+	private final DirectoryKeeper directoryKeeper;
+
+	private final LayerKeeper layerKeeper;
+
+	private final Leadership leadership;
+
+	private final ToldLoad load;
+
+	/**
+	 * A side.
+	 * @param router the clocks, the directory and the other routers
+	 * @param settings this router's name and address
+	 * @param configurationKeeper knows the configuration in force
+	 * @param directoryKeeper knows the list of upstreams
+	 * @param layerKeeper knows which engines are slow, while this router leads
+	 * @param leadership whether it does
+	 */
+	PeerConversation(RouterContext router, RouterSettings settings, ConfigurationKeeper configurationKeeper,
+			DirectoryKeeper directoryKeeper, LayerKeeper layerKeeper, Leadership leadership) {
+		this.router = router;
+		this.settings = settings;
+		this.configurationKeeper = configurationKeeper;
+		this.directoryKeeper = directoryKeeper;
+		this.layerKeeper = layerKeeper;
+		this.leadership = leadership;
+		this.load = new ToldLoad(router.directory());
+	}
+
+	@Override
+	public PeerStatus status(long sequence, boolean answer) {
+		long nowMs = this.router.nowMs();
+		long ageMs = this.router.proof().ageMs(this.router.bootMs());
+		long version = (this.router.configuration() != null) ? this.router.configuration().version() : -1;
+		return new PeerStatus(this.settings.name(), Addresses.text(this.settings.peers()),
+				this.settings.failureDomain(), sequence, answer, version,
+				(ageMs < this.settings.bounds().keysMs()) ? ageMs : -1, this.router.watch().suspects(),
+				this.load.tokenLayers(nowMs), this.router.peers().toTell(nowMs), this.router.stopping(),
+				this.layerKeeper.paces(), this.leadership.holds(), this.router.peers().leaderAgeMs(nowMs),
+				this.directoryKeeper.state());
+	}
+
+	@Override
+	public void heard(PeerStatus status) {
+		PeerTable peers = this.router.peers();
+		peers.heard(status, this.router.nowMs());
+		status.suspects().forEach(this.router.watch()::hearsay);
+		this.configurationKeeper.heard(status.version(), peers.provedAtMs(status), status.address());
+		this.directoryKeeper.heard(status.address(), status.list(), peers.listProvedAtMs(status));
+	}
+
+	@Override
+	public UpstreamChanges changesAfter(long afterRevision) {
+		return this.directoryKeeper.changesAfter(afterRevision);
+	}
+
+	@Override
+	public void told(UpstreamChanges changes) {
+		this.directoryKeeper.told(changes);
+	}
+
+}
--- a/whinjunction-router/src/main/java/io/whinjunction/router/PeerTable.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/PeerTable.java
@@ -210,9 +210,9 @@
 	 * Memory that other routers' requests take up at an engine.
 	 * <p>
 	 * The load it answers: of a large fleet, a router hears a part in the time after
-	 * which the rest counts as silent. Adding up that part alone, 88 routers took an
-	 * engine for less than half as full as it was. Those that can't have been heard are
-	 * taken for alike to those that were.
+	 * which the rest counts as silent. Adding up that part alone would make an engine
+	 * look emptier than it is. Those that can't have been heard are taken for alike to
+	 * those that were.
 	 * @param engineId the engine's incarnation
 	 * @param nowMs the time
 	 * @return tokens times layers, by what they said last
@@ -260,9 +260,9 @@
 	 * Whether another router said a moment ago that it holds the lease, or was heard to
 	 * by others.
 	 * <p>
-	 * The load it answers: a router hears some 36 others in the time after which one
-	 * counts as silent. Of 88, most don't hear the holder itself, and each of those read
-	 * the lease twice a second.
+	 * The load it answers: in the time after which one counts as silent, a router of a
+	 * large fleet hears only some others, seldom the holder itself, and would read the
+	 * lease again and again.
 	 * @param nowMs the time
 	 * @return whether nobody else needs to look for it
 	 */
@@ -317,8 +317,7 @@
 		 * <p>
 		 * A balancer that has less than half of a failure domain's processes left sends
 		 * to all of them again, also to those that stop or are gone: with drafts refused
-		 * there too, 1 to 4 requests of 1,610 to 2,390 found nobody at all on six days
-		 * with every router stopped two seconds after the one before, where none had.
+		 * there too, some callers would find nobody at all.
 		 * @return whether half of all, this one included, serve
 		 */
 		boolean suffice() {
--- a/whinjunction-router/src/main/java/io/whinjunction/router/Router.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/Router.java
@@ -142,11 +142,10 @@
 		this.runningTimes = new RunningTimes(boot.nowMs(), LONGEST_PAUSE_MS);
 		this.proof = new ConfigurationProof(settings.bounds().keysMs() - KEY_MARGIN_MS,
 				settings.bounds().configurationMs());
-		this.peers = new PeerTable(text(settings.peers()), RandomGenerator.getDefault());
+		this.peers = new PeerTable(Addresses.text(settings.peers()), RandomGenerator.getDefault());
 		this.pool = new UpstreamPool(this.loop, this.dialect, this.ticker);
 		this.directory = new UpstreamDirectory((upstream) -> this.pool.drop(upstream.incarnation()));
 		this.watch = new EngineWatch(this, ports.engines(), this::engineNews, () -> leadership().holds());
-		this.peerLink = new PeerLink(this, this.peers, new PeerHandler());
 		this.store = ports.store();
 		this.engines = ports.engines();
 		this.configurationKeeper = new ConfigurationKeeper(this.loop, ports.store(), this.proof, boot,
@@ -158,6 +157,8 @@
 				settings.failureDomain());
 		this.directoryKeeper = new DirectoryKeeper(this, ports.store(), new DirectoryListener(),
 				() -> this.leadership.holds(), settings.bounds().drainMs());
+		this.peerLink = new PeerLink(this, this.peers, new PeerConversation(this, settings, this.configurationKeeper,
+				this.directoryKeeper, this.layerKeeper, this.leadership));
 	}
 
 	/**
@@ -212,7 +213,7 @@
 	}
 
 	private void announce() {
-		this.store.announce(this.settings.name(), text(this.settings.peers()), (reply) -> {
+		this.store.announce(this.settings.name(), Addresses.text(this.settings.peers()), (reply) -> {
 			if (reply instanceof StoreReply.Found<List<String>> found) {
 				this.peers.addresses(found.value());
 				logger.atInfo().log("event=announced routers=%d", found.value().size());
@@ -228,10 +229,6 @@
 		this.layerKeeper.plan();
 	}
 
-	private static String text(InetSocketAddress address) {
-		return address.getAddress().getHostAddress() + ":" + address.getPort();
-	}
-
 	private void initializeCaller(SocketChannel channel) {
 		HttpDecoderConfig config = new HttpDecoderConfig().setMaxHeaderSize(MAX_HEAD_BYTES)
 			.setMaxInitialLineLength(MAX_HEAD_BYTES);
@@ -436,45 +433,6 @@
 		this.stopAdmission.answered(family, tookMs);
 	}
 
-	/** This router's side of what routers say to each other. */
-	private final class PeerHandler implements PeerLink.Handler {
-
-		private final ToldLoad load = new ToldLoad(Router.this.directory);
-
-		@Override
-		public PeerStatus status(long sequence, boolean answer) {
-			Router router = Router.this;
-			long ageMs = router.proof.ageMs(router.boot.nowMs());
-			long version = (configuration() != null) ? configuration().version() : -1;
-			return new PeerStatus(router.settings.name(), text(router.settings.peers()),
-					router.settings.failureDomain(), sequence, answer, version,
-					(ageMs < router.settings.bounds().keysMs()) ? ageMs : -1, router.watch.suspects(),
-					this.load.tokenLayers(nowMs()), router.peers.toTell(nowMs()), stopping(),
-					router.layerKeeper.paces(), router.leadership.holds(), router.peers.leaderAgeMs(nowMs()),
-					router.directoryKeeper.state());
-		}
-
-		@Override
-		public void heard(PeerStatus status) {
-			Router router = Router.this;
-			router.peers.heard(status, nowMs());
-			status.suspects().forEach(router.watch::hearsay);
-			router.configurationKeeper.heard(status.version(), router.peers.provedAtMs(status), status.address());
-			router.directoryKeeper.heard(status.address(), status.list(), router.peers.listProvedAtMs(status));
-		}
-
-		@Override
-		public UpstreamChanges changesAfter(long afterRevision) {
-			return Router.this.directoryKeeper.changesAfter(afterRevision);
-		}
-
-		@Override
-		public void told(UpstreamChanges changes) {
-			Router.this.directoryKeeper.told(changes);
-		}
-
-	}
-
 	/** What follows from changes of the list of upstreams. */
 	private final class DirectoryListener implements DirectoryKeeper.Listener {
 
--- a/whinjunction-router/src/main/java/io/whinjunction/router/TargetChooser.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/TargetChooser.java
@@ -112,8 +112,8 @@
 	private List<PathFinder.Candidate> candidates(Wish wish, long nowMs) {
 		ModelProfile profile = wish.service().model();
 		// All routers decide alone and much alike: what this one has just sent to an
-		// engine, the others have too. By the published rates fifty prompts that go the
-		// same way after a loss keep the last of them waiting for 235 ms.
+		// engine, the others have too, and prompts that all go the same way after a loss
+		// are read one after the other.
 		int routers = 1 + this.peers.heardLately(nowMs);
 		List<PathFinder.Candidate> candidates = new ArrayList<>();
 		for (UpstreamState state : this.directory.staying(wish.service().name())) {
--- a/whinjunction-router/src/main/java/io/whinjunction/router/ToldLoad.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/ToldLoad.java
@@ -5,10 +5,10 @@
 /**
  * What this router tells others of the memory that its requests take up at engines.
  * <p>
- * The load it answers: a router tells its status some thirty times a second, to whoever
- * asks and to whom it asks, and looking through all engines for it was among the most
- * that a status cost. It is looked up once a period of questions, which is a small part
- * of how old it is when others use it. Confined to the event loop.
+ * The load it answers: a router tells its status many times a second, to whoever asks and
+ * to whom it asks, and would look through all engines each time. It looks once a period
+ * of questions, which is a small part of how old the word is when others use it. Confined
+ * to the event loop.
  */
 final class ToldLoad {
 
--- a/whinjunction-router/src/main/java/io/whinjunction/router/WatchPause.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/WatchPause.java
@@ -1,25 +1,18 @@
 package io.whinjunction.router;
 
 /**
- * How long to wait after a change of the list of upstreams before it is watched again.
+ * How long to wait after a watch of the list of upstreams that failed.
  * <p>
- * The load it answers: a watch ends with its first change, and each change ends the
- * watches of all routers. The larger the fleet, the more changes are gathered in one
- * call, as far as an upstream that leaves is still noticed well before it stops serving.
- * Engines that crash are noticed by their streams, not by the list. Over an emulated day
- * in which engines load, leave and come, each of 88 routers called the store 4.1 times a
- * second before, and 1.5 times with this, with the holder's word passed on and with reads
- * of the configuration paced by their bound. Stateless.
+ * The load it answers: the store is down or turns this router away, and refused calls
+ * have their price too. The larger the fleet, the longer each router waits, as far as an
+ * upstream that leaves is still noticed well before it stops serving. Stateless.
  */
 final class WatchPause {
 
-	/**
-	 * In a burst, each change would be a call of its own: 48 at a start with 40
-	 * upstreams.
-	 */
+	/** The pause in a small fleet, in milliseconds. */
 	private static final long LEAST_MS = 400;
 
-	/** Each router adds this much, so that all together call some 25 times a second. */
+	/** What each router of the fleet adds, in milliseconds. */
 	private static final long MS_PER_ROUTER = 40;
 
 	/**
--- a/whinjunction-router/src/test/java/io/whinjunction/router/WatchPauseTests.java
+++ b/whinjunction-router/src/test/java/io/whinjunction/router/WatchPauseTests.java
@@ -5,20 +5,20 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * How often routers watch the list of upstreams while it changes all the time.
+ * How often routers try to watch the list of upstreams while the store refuses them.
  */
 class WatchPauseTests {
 
 	private static final long DRAIN_MS = 3000;
 
 	@Test
-	void aSmallFleetHearsOfChangesSoon() {
+	void aSmallFleetTriesAgainSoon() {
 		assertThat(WatchPause.ms(1, DRAIN_MS)).isEqualTo(400);
 		assertThat(WatchPause.ms(9, DRAIN_MS)).isEqualTo(400);
 	}
 
-	// A store that allows a few thousand calls a second is asked 220 times a second by 88
-	// routers for the list alone, and each call has its price.
+	// A store that is down is asked 220 times a second by 88 routers for the list alone,
+	// and each refused call has its price.
 	@Test
 	void aLargeFleetCallsLessThanAHundredTimesASecond() {
 		assertThat(88 * 1000.0 / WatchPause.ms(88, DRAIN_MS)).isLessThan(100);
