--- a/whinjunction-router/src/test/java/io/whinjunction/router/PeerLinkTests.java
+++ b/whinjunction-router/src/test/java/io/whinjunction/router/PeerLinkTests.java
@@ -46,10 +46,10 @@
 				List.of(), 9);
 		CompletableFuture<UpstreamChanges> told = new CompletableFuture<>();
 		InetSocketAddress answering = freeAddress();
-		Channel first = link(answering, changes, new CompletableFuture<>()).start(answering);
+		Channel first = bound(link(answering, changes, new CompletableFuture<>()).start(answering));
 		InetSocketAddress asking = freeAddress();
 		PeerLink link = link(asking, changes, told);
-		Channel second = link.start(asking);
+		Channel second = bound(link.start(asking));
 
 		link.askForChanges(answering.getAddress().getHostAddress() + ":" + answering.getPort(), 3);
 
@@ -87,6 +87,15 @@
 		});
 	}
 
+	// A link binds on its event loop; a question that is sent before finds nobody.
+	private static Channel bound(Channel channel) throws InterruptedException {
+		for (int wait = 0; wait < 500 && !channel.isActive(); wait++) {
+			Thread.sleep(10);
+		}
+		assertThat(channel.isActive()).isTrue();
+		return channel;
+	}
+
 	private static InetSocketAddress freeAddress() throws SocketException {
 		try (DatagramSocket socket = new DatagramSocket(0)) {
 			return new InetSocketAddress("127.0.0.1", socket.getLocalPort());
