--- a/whinjunction-router/src/test/java/io/whinjunction/router/DirectoryKeeperTests.java
+++ b/whinjunction-router/src/test/java/io/whinjunction/router/DirectoryKeeperTests.java
@@ -139,6 +139,25 @@
 			.isEqualTo(new UpstreamChanges(10, List.of(upstream("a", 2), upstream("c", 1)), List.of("b"), 30));
 	}
 
+	// Requests reach an upstream that has left: the wait that should have told of it was
+	// lost on the way, and its router and others take the list for the newest.
+	@Test
+	void aWaitThatIsStillOpenProvesNothing() {
+		this.nowMs += 5 * DRAIN_MS;
+
+		assertThat(this.watches).hasSize(1);
+		assertThat(this.keeper.state().ageMs()).isEqualTo(5 * DRAIN_MS);
+	}
+
+	// An answer that was held up on its way tells how the list was when it was asked for.
+	@Test
+	void anAnswerProvesTheListAsOfItsQuestion() {
+		this.nowMs += DRAIN_MS;
+		this.watches.getFirst().accept(new StoreReply.Found<>(new UpstreamChanges(10, List.of(), List.of(), 11)));
+
+		assertThat(this.keeper.state().ageMs()).isEqualTo(DRAIN_MS);
+	}
+
 	private void hear(ListState state) {
 		this.keeper.heard("10.0.0.2:1", state, this.nowMs);
 	}
