The list of upstreams is proved by answers only, each as of its question

What callers saw: requests reached an upstream 2.0 and 2.4 s after the store had acknowledged that it leaves, where 2.0 s are allowed.

Cause: while a router waited at the store its list counted as confirmed now, here and at all routers that heard of it. A wait that is lost (sent into an outage, or on a connection that goes silent) was noticed after 6 s, and nobody looked meanwhile. Class of fault: a proof taken from silence. The answer to a wait was also dated by its arrival, although it may have been held up on its way.

Change: answers prove, as of their question. Waits bring news, and looks, answered at once, bring proofs: the few routers that wait look when nobody has proved the list for a fifth of the drain time, the others after two fifths, as before. The reading of the store moves from DirectoryKeeper to ListReader. Looked for the same cause elsewhere: the configuration's proof, the lease's age, proofs told by other routers are dated by questions already.

--- a/whinjunction-router/src/main/java/io/whinjunction/router/DirectoryKeeper.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/DirectoryKeeper.java
@@ -2,39 +2,21 @@
 
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
-import java.util.random.RandomGenerator;
 
 import com.google.common.flogger.FluentLogger;
-import io.netty.util.concurrent.ScheduledFuture;
 
 /**
- * Keeps the directory of upstreams as the platform's store has it: one list at the start,
- * then changes, read from the store where {@link ListWatchRota} says so and told by other
- * routers elsewhere; a list again where the store's history is gone.
+ * Keeps the directory of upstreams as the platform's store has it: lists and changes,
+ * read by a {@link ListReader} and told by other routers.
  * <p>
  * Invariants: the revision never goes down; changes are applied only to a list that they
- * reach back to, so that none is left out. Confined to the event loop.
+ * reach back to, so that none is left out; the list is proved by answers only, each as of
+ * its question. Confined to the event loop.
  */
 final class DirectoryKeeper {
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-	/**
-	 * How long one watch waits, in milliseconds; a call each. The store's own limit is
-	 * higher, but connections that went silent are only found when a watch should have
-	 * ended, and until then its router tells others that nothing has changed.
-	 */
-	private static final long WATCH_MS = 5000;
-
-	/**
-	 * The pause between a change and the next watch, in milliseconds: in a burst, each
-	 * change would be a call of its own.
-	 */
-	private static final long GATHER_MS = 400;
-
-	/** The pause before a list that failed is asked for again, in milliseconds. */
-	private static final long RETRY_MS = 250;
-
 	/** The pause between two questions for changes, in milliseconds. */
 	private static final long ASK_PAUSE_MS = 100;
 
@@ -49,15 +31,9 @@
 
 	private final RouterContext router;
 
-	private final FleetStore store;
-
 	private final Listener listener;
 
-	private final BooleanSupplier leads;
-
-	private final long drainMs;
-
-	private final ListWatchRota rota;
+	private final ListReader reader;
 
 	private final RecentChanges recent = new RecentChanges();
 
@@ -68,10 +44,6 @@
 
 	private boolean listed;
 
-	private boolean listing;
-
-	private boolean watching;
-
 	/** When this revision was the newest for certain, on the clock of proofs. */
 	private long provedAtMs;
 
@@ -80,8 +52,6 @@
 	/** The revision that was asked about last; {@link #NOT_ASKED} where none is open. */
 	private long askedRevision = NOT_ASKED;
 
-	private ScheduledFuture<?> next;
-
 	/**
 	 * A keeper.
 	 * @param router the directory, the other routers and the clocks
@@ -92,11 +62,8 @@
 	 */
 	DirectoryKeeper(RouterContext router, FleetStore store, Listener listener, BooleanSupplier leads, long drainMs) {
 		this.router = router;
-		this.store = store;
 		this.listener = listener;
-		this.leads = leads;
-		this.drainMs = drainMs;
-		this.rota = new ListWatchRota(drainMs, RandomGenerator.getDefault());
+		this.reader = new ListReader(router, store, new Read(), leads, drainMs);
 	}
 
 	boolean listed() {
@@ -108,35 +75,19 @@
 	 * @return its revision and the age of the proof that it is the newest
 	 */
 	ListState state() {
-		return this.listed ? new ListState(this.revision, this.changedAt, ageMs(), this.watching) : ListState.NONE;
+		return this.listed ? new ListState(this.revision, this.changedAt, ageMs(), this.reader.waits())
+				: ListState.NONE;
 	}
 
-	// While the store is waited at, it would have said that something has changed.
 	private long ageMs() {
-		return this.watching ? 0 : this.router.bootMs() - this.provedAtMs;
+		return this.router.bootMs() - this.provedAtMs;
 	}
 
 	void start() {
-		list();
+		this.reader.list();
 	}
 
-	private void list() {
-		if (this.listing) {
-			return;
-		}
-		this.listing = true;
-		long askedBootMs = this.router.bootMs();
-		this.store.listUpstreams((reply) -> takeList(reply, askedBootMs));
-	}
-
-	private void takeList(StoreReply<UpstreamListing> reply, long askedBootMs) {
-		this.listing = false;
-		if (!(reply instanceof StoreReply.Found<UpstreamListing> found)) {
-			logger.atWarning().log("event=list-failed reason=\"%s\"", reply);
-			this.router.loop().schedule(this::list, RETRY_MS, TimeUnit.MILLISECONDS);
-			return;
-		}
-		UpstreamListing listing = found.value();
+	private void listed(UpstreamListing listing, long askedBootMs) {
 		if (!this.listed) {
 			this.router.directory().replace(listing.upstreams());
 			this.revision = listing.revision();
@@ -147,83 +98,13 @@
 		else if (listing.revision() > this.revision) {
 			apply(this.router.directory().changesTo(listing, this.revision), FROM_STORE);
 		}
-		this.provedAtMs = Math.max(this.provedAtMs, askedBootMs);
+		proved(askedBootMs);
 		logger.atInfo()
 			.log("event=upstreams-listed count=%d revision=%d", this.router.directory().size(), this.revision);
-		goOn(false);
-	}
-
-	private void step() {
-		if (this.watching || this.listing) {
-			return;
-		}
-		long pauseMs = this.leads.getAsBoolean() ? 0 : this.rota.pauseMs(ageMs());
-		if (pauseMs > 0) {
-			in(pauseMs, this::step);
-		}
-		else {
-			logger.atInfo().log("event=list-watch-begun age-ms=%d revision=%d", ageMs(), this.revision);
-			watch();
-		}
-	}
-
-	private void in(long pauseMs, Runnable step) {
-		if (this.next != null) {
-			this.next.cancel(false);
-		}
-		this.next = this.router.loop().schedule(step, pauseMs, TimeUnit.MILLISECONDS);
 	}
 
-	private void watch() {
-		if (!this.watching) {
-			this.watching = true;
-			this.store.watchUpstreams(this.revision, WATCH_MS, this::takeChanges);
-		}
-	}
-
-	private void takeChanges(StoreReply<UpstreamChanges> reply) {
-		this.watching = false;
-		switch (reply) {
-			case StoreReply.Found<UpstreamChanges> found -> {
-				this.provedAtMs = this.router.bootMs();
-				takeWatched(found.value());
-				goOn(found.value().size() > 0);
-			}
-			case StoreReply.Outdated<UpstreamChanges> ignored -> {
-				logger.atWarning().log("event=watch-outdated revision=%d", this.revision);
-				list();
-			}
-			default -> {
-				logger.atWarning().log("event=watch-failed reason=\"%s\" revision=%d", reply, this.revision);
-				in(WatchPause.ms(this.router.peers().sharers(this.router.nowMs()), this.drainMs), this::step);
-			}
-		}
-	}
-
-	private void takeWatched(UpstreamChanges changes) {
-		if (changes.extend(this.revision)) {
-			apply(changes, FROM_STORE);
-			if (changes.size() > 0) {
-				this.listener.tellOthers();
-			}
-		}
-	}
-
-	// Whoever has just listed or watched waits at the store while few others do, so that
-	// a router that is alone misses nothing.
-	private void goOn(boolean changed) {
-		double others = this.router.peers().listWatchers(this.router.nowMs());
-		boolean goesOn = this.leads.getAsBoolean() || this.rota.goesOn(others);
-		if (goesOn && changed) {
-			in(GATHER_MS, this::watch);
-		}
-		else if (goesOn) {
-			watch();
-		}
-		else {
-			logger.atInfo().log("event=list-watch-left others=%.1f revision=%d", others, this.revision);
-			step();
-		}
+	private void proved(long askedBootMs) {
+		this.provedAtMs = Math.max(this.provedAtMs, askedBootMs);
 	}
 
 	private void apply(UpstreamChanges changes, String source) {
@@ -259,7 +140,7 @@
 			return;
 		}
 		if (theirs.changedAt() <= this.revision) {
-			this.provedAtMs = Math.max(this.provedAtMs, theirProvedAtMs);
+			proved(theirProvedAtMs);
 			if (theirs.revision() > this.revision) {
 				unchangedUntil(theirs.revision());
 			}
@@ -300,6 +181,37 @@
 		this.askedRevision = asked ? NOT_ASKED : this.askedRevision;
 	}
 
+	/** What is read from the store. */
+	private final class Read implements ListReader.Reader {
+
+		@Override
+		public long revision() {
+			return DirectoryKeeper.this.revision;
+		}
+
+		@Override
+		public long ageMs() {
+			return DirectoryKeeper.this.ageMs();
+		}
+
+		@Override
+		public void listed(UpstreamListing listing, long askedBootMs) {
+			DirectoryKeeper.this.listed(listing, askedBootMs);
+		}
+
+		@Override
+		public void changed(UpstreamChanges changes, long askedBootMs) {
+			proved(askedBootMs);
+			if (changes.extend(DirectoryKeeper.this.revision)) {
+				apply(changes, FROM_STORE);
+				if (changes.size() > 0) {
+					DirectoryKeeper.this.listener.tellOthers();
+				}
+			}
+		}
+
+	}
+
 	/** What the keeper wants of others; called on the event loop. */
 	interface Listener {
 
--- a/whinjunction-router/src/main/java/io/whinjunction/router/ListWatchRota.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/ListWatchRota.java
@@ -3,16 +3,18 @@
 import java.util.random.RandomGenerator;
 
 /**
- * Which routers wait at the store for changes of the list of upstreams.
+ * Which routers wait at the store for changes of the list of upstreams, and when each of
+ * them looks whether its list is still the newest.
  * <p>
  * The load it answers: engines come, go and load layers all the time, and each change
  * ends the watch of everybody who waits for it. With all of a large fleet waiting, the
  * calls grow with routers times changes; a few that wait and tell the others bring the
  * same news sooner.
  * <p>
- * A router that isn't told in time that its list is still the newest waits at the store
- * itself, so that losing all who waited, or being cut off from them, delays news but
- * never loses it. Confined to one thread.
+ * A router that isn't told in time that its list is still the newest looks for itself, so
+ * that losing all who waited, or being cut off from them, delays news but never loses it.
+ * Those that wait look sooner, and tell the others before those do. Confined to one
+ * thread.
  */
 final class ListWatchRota {
 
@@ -32,9 +34,16 @@
 	/** What is added by chance, as a part of the same time, so that few begin at once. */
 	private static final double SPREAD_PART = 0.1;
 
-	private final long staleMs;
+	/**
+	 * The same for routers that wait at the store. All routers of a fleet are proved by
+	 * the same look and grow old together.
+	 */
+	private static final double FORERUNNER_STALE_PART = 0.2;
+
+	/** What is added for these: long enough for the first proof to reach the others. */
+	private static final double FORERUNNER_SPREAD_PART = 0.2;
 
-	private final long spreadMs;
+	private final long drainMs;
 
 	private final RandomGenerator random;
 
@@ -44,28 +53,34 @@
 	 * @param random the source of chance
 	 */
 	ListWatchRota(long drainMs, RandomGenerator random) {
-		this.staleMs = Math.max(1, (long) (STALE_PART * drainMs));
-		this.spreadMs = Math.max(1, (long) (SPREAD_PART * drainMs));
+		this.drainMs = drainMs;
 		this.random = random;
 	}
 
 	/**
-	 * What a router does whose watch has ended.
+	 * What a router does that has just heard from the store.
 	 * @param others how many others wait at the store, as far as is known
-	 * @return whether it waits there again
+	 * @return whether it waits there
 	 */
 	boolean goesOn(double others) {
 		return this.random.nextDouble() * (1 + others) < WANTED;
 	}
 
 	/**
-	 * What a router does that doesn't wait at the store.
+	 * When a router looks whether its list is still the newest.
 	 * @param ageMs how long ago its list was the newest for certain, in milliseconds
-	 * @return after how many milliseconds it has to look again; 0 where it has to wait at
-	 * the store now
+	 * @param waits whether it waits at the store
+	 * @return after how many milliseconds it has to think again; 0 where it has to look
+	 * now
 	 */
-	long pauseMs(long ageMs) {
-		return (ageMs >= this.staleMs) ? 0 : this.staleMs - ageMs + this.random.nextLong(this.spreadMs);
+	long pauseMs(long ageMs, boolean waits) {
+		long staleMs = part(waits ? FORERUNNER_STALE_PART : STALE_PART);
+		long spreadMs = part(waits ? FORERUNNER_SPREAD_PART : SPREAD_PART);
+		return (ageMs >= staleMs) ? 0 : staleMs - ageMs + this.random.nextLong(spreadMs);
+	}
+
+	private long part(double part) {
+		return Math.max(1, (long) (part * this.drainMs));
 	}
 
 }
--- a/whinjunction-router/src/main/java/io/whinjunction/router/Router.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/Router.java
@@ -317,6 +317,7 @@
 		Set.copyOf(this.callers).forEach((caller) -> caller.endIfQuiet(nowMs, idleMs));
 		this.metrics.state("version", (configuration() != null) ? configuration().version() : -1);
 		this.metrics.state("proof_age_ms", this.proof.ageMs(this.boot.nowMs()));
+		this.metrics.state("list_age_ms", this.directoryKeeper.state().ageMs());
 		this.metrics.state("upstreams", this.directory.size());
 		this.metrics.state("callers", this.callers.size());
 		this.metrics.state("leading", this.leadership.holds() ? 1 : 0);
--- a/whinjunction-router/src/test/java/io/whinjunction/router/ListWatchRotaTests.java
+++ b/whinjunction-router/src/test/java/io/whinjunction/router/ListWatchRotaTests.java
@@ -42,19 +42,23 @@
 	// leaving upstream still serves.
 	@Test
 	void aListThatNobodyConfirmsIsLookedAfterBeforeALeavingUpstreamEnds() {
+		assertThat(ageAtLookMs(false)).isLessThanOrEqualTo(DRAIN_MS / 2);
+		assertThat(ageAtLookMs(true)).isLessThanOrEqualTo(DRAIN_MS / 2);
+	}
+
+	private long ageAtLookMs(boolean waits) {
 		long ageMs = 0;
-		for (long pauseMs = this.rota.pauseMs(ageMs); pauseMs > 0; pauseMs = this.rota.pauseMs(ageMs)) {
+		for (long pauseMs = this.rota.pauseMs(ageMs, waits); pauseMs > 0; pauseMs = this.rota.pauseMs(ageMs, waits)) {
 			ageMs += pauseMs;
 		}
-
-		assertThat(ageMs).isLessThanOrEqualTo(DRAIN_MS / 2);
+		return ageMs;
 	}
 
 	// All routers of a fleet were told last by the same one: their lists grow old
 	// together, and the first ones that look tell the others before those look too.
 	@Test
 	void routersWhoseListsGrowOldTogetherDoNotLookTogether() {
-		long[] pausesMs = IntStream.range(0, 95).mapToLong((index) -> this.rota.pauseMs(0)).sorted().toArray();
+		long[] pausesMs = IntStream.range(0, 95).mapToLong((index) -> this.rota.pauseMs(0, false)).sorted().toArray();
 
 		assertThat(pausesMs[94] - pausesMs[0]).isGreaterThan(DRAIN_MS / 20);
 	}
