What routers tell of eras and versions can't hold a router up for good

A message that named an era or a version that never was would have made every answer of the store late, or kept every key from being honoured: whoever reaches the routers' port can write to it. Answers are judged by the era that the store says itself; what another router tells only makes the holders of state look anew. A later version that nobody names any more is forgotten after the age up to which a proof is good.

--- a/whinjunction-router/src/main/java/io/whinjunction/router/ConfigurationKeeper.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/ConfigurationKeeper.java
@@ -1,7 +1,5 @@
 package io.whinjunction.router;
 
-import java.util.HashSet;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.random.RandomGenerator;
@@ -21,10 +19,8 @@
  * force; a few routers do so sooner than the others, so the fleet reads a few times a
  * period, and not each router once.
  * <p>
- * A store that has come back from an older copy holds an older version, or one that
- * another has replaced since, until operators have written theirs again: for that time a
- * read proves nothing. A router that starts then knows no later version itself, and asks
- * the others before it trusts what it read.
+ * {@link ConfigurationTrust} says which reads prove anything, where the store has come
+ * back from an older copy.
  * <p>
  * Invariants: the version in force never goes down; none is proved while another router
  * has a later one. Confined to the event loop.
@@ -55,26 +51,16 @@
 	 */
 	private static final double FORERUNNER_SPREAD_PART = 0.25;
 
-	/**
-	 * How long after the store came back operators may take to write their newest
-	 * configuration again, as a part of the age up to which a proof is good: that of
-	 * before holds meanwhile.
-	 */
-	private static final double WRITTEN_AGAIN_PART = 0.4;
-
 	/**
 	 * How long a router that starts waits for another one's word on the version, in
 	 * milliseconds: a few times what an answer takes.
 	 */
 	private static final long CONSULT_MS = 300;
 
-	/** How many others' word is enough: some of them may be behind themselves. */
-	private static final int MOST_CONSULTED = 8;
-
 	/** The pause after a read that failed, in milliseconds: a few calls a second. */
 	private static final long RETRY_MS = 250;
 
-	private static final long NEVER = Long.MIN_VALUE / 2;
+	private static final long NEVER_MS = Long.MIN_VALUE / 2;
 
 	private final EventLoop loop;
 
@@ -90,7 +76,7 @@
 
 	private final Runnable changed;
 
-	private final StoreEra era;
+	private final ConfigurationTrust trust;
 
 	private final RandomGenerator random;
 
@@ -109,23 +95,8 @@
 
 	private boolean stopped;
 
-	/** The latest version that another router has had in force. */
-	private long latestHeard = -1;
-
-	/**
-	 * Whether enough other routers' word on the version was heard, or waited for in vain.
-	 */
-	private boolean consulted;
-
-	private final Set<String> consultedRouters = new HashSet<>();
-
-	private int toConsult = MOST_CONSULTED;
-
-	/** The newest proof that waits for such a word, on the clock of proofs. */
-	private long unconfirmedAtMs = NEVER;
-
-	/** When the store came back, as far as was heard, on the clock of proofs. */
-	private long returnedAtMs = NEVER;
+	/** The newest proof that waits for others' word, on the clock of proofs. */
+	private long unconfirmedAtMs = NEVER_MS;
 
 	/**
 	 * A keeper.
@@ -145,7 +116,7 @@
 		this.inForceMs = inForceMs;
 		this.runsAhead = runsAhead;
 		this.changed = changed;
-		this.era = era;
+		this.trust = new ConfigurationTrust(era, proof.keysBoundMs());
 		this.random = random;
 		this.loop = loop;
 		this.store = store;
@@ -177,11 +148,9 @@
 	 */
 	void heard(long version, long provedAtMs, String peerAddress) {
 		long own = version();
-		this.latestHeard = Math.max(this.latestHeard, version);
-		if (version >= 0 && !this.consulted) {
-			this.consultedRouters.add(peerAddress);
-			confirmWhereEnough();
-		}
+		boolean before = confirmed();
+		this.trust.heard(version, peerAddress, this.boot.nowMs());
+		noteConfirmed(before);
 		if (version == own && version >= 0) {
 			proved(provedAtMs);
 		}
@@ -209,7 +178,7 @@
 
 	/** The store has come back from an older copy. */
 	void storeReturned() {
-		this.returnedAtMs = this.boot.nowMs();
+		heardOfReturn(0);
 	}
 
 	/**
@@ -217,9 +186,7 @@
 	 * @param ageMs how long ago it heard so, in milliseconds; -1 where it didn't
 	 */
 	void heardOfReturn(long ageMs) {
-		if (ageMs >= 0) {
-			this.returnedAtMs = Math.max(this.returnedAtMs, this.boot.nowMs() - ageMs);
-		}
+		this.trust.storeReturned(ageMs, this.boot.nowMs());
 	}
 
 	/**
@@ -227,12 +194,7 @@
 	 * @return milliseconds; -1 where it did not, as far as is known, or long ago
 	 */
 	long returnAgeMs() {
-		long ageMs = this.boot.nowMs() - this.returnedAtMs;
-		return (ageMs < writtenAgainMs()) ? ageMs : -1;
-	}
-
-	private long writtenAgainMs() {
-		return (long) (WRITTEN_AGAIN_PART * this.proof.keysBoundMs());
+		return this.trust.returnAgeMs(this.boot.nowMs());
 	}
 
 	/**
@@ -240,25 +202,23 @@
 	 * @param routers how many; their answers may be lost
 	 */
 	void consulting(int routers) {
-		this.toConsult = Math.min(routers, MOST_CONSULTED);
-		confirmWhereEnough();
-		this.loop.schedule(this::confirm, CONSULT_MS, TimeUnit.MILLISECONDS);
+		boolean before = confirmed();
+		this.trust.consulting(routers);
+		noteConfirmed(before);
+		this.loop.schedule(this::waitedEnough, CONSULT_MS, TimeUnit.MILLISECONDS);
 	}
 
-	private void confirmWhereEnough() {
-		if (this.consultedRouters.size() >= this.toConsult) {
-			confirm();
-		}
+	private void waitedEnough() {
+		boolean before = confirmed();
+		this.trust.waitedEnough();
+		noteConfirmed(before);
 	}
 
-	private void confirm() {
-		if (this.consulted) {
-			return;
+	private void noteConfirmed(boolean before) {
+		if (!before && confirmed()) {
+			proved(this.unconfirmedAtMs);
+			this.changed.run();
 		}
-		this.consulted = true;
-		this.consultedRouters.clear();
-		proved(this.unconfirmedAtMs);
-		this.changed.run();
 	}
 
 	/**
@@ -266,14 +226,14 @@
 	 * @return {@code false} while their word is waited for after a start
 	 */
 	boolean confirmed() {
-		return this.consulted || !this.era.known();
+		return this.trust.confirmed();
 	}
 
 	private void proved(long askedAtMs) {
 		if (!confirmed()) {
 			this.unconfirmedAtMs = Math.max(this.unconfirmedAtMs, askedAtMs);
 		}
-		else if (version() >= this.latestHeard && askedAtMs - this.returnedAtMs >= writtenAgainMs()) {
+		else if (this.trust.proves(version(), askedAtMs, this.boot.nowMs())) {
 			this.proof.proved(askedAtMs);
 		}
 	}
@@ -300,7 +260,7 @@
 		long pauseMs = RETRY_MS;
 		if (reply instanceof StoreReply.Found<ConfigurationDocument> found) {
 			noteTouch(true, "read");
-			this.storeIsBehind = found.value().configuration().version() < this.latestHeard;
+			this.storeIsBehind = this.trust.outdated(found.value().configuration().version(), this.boot.nowMs());
 			offer(found.value(), askedAtMs);
 			pauseMs = periodMs() + spreadMs();
 		}
--- a/whinjunction-router/src/main/java/io/whinjunction/router/StoreEra.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/StoreEra.java
@@ -13,8 +13,9 @@
  * an answer of before, or one to a question that was asked by a revision of before, is
  * taken for what the store holds now.
  * <p>
- * Invariants: the era never goes down; each later one is told once to whoever keeps state
- * of the store, before the answer that brought it is used. Confined to the event loop.
+ * Invariants: the era never goes down; each later one that the store or another router
+ * names is told once to whoever keeps state of the store, before the answer that brought
+ * it is used. Confined to the event loop.
  */
 public final class StoreEra {
 
@@ -32,6 +33,9 @@
 
 	private long current;
 
+	/** The latest era that anybody told of, which holders of state have heard of. */
+	private long told;
+
 	/**
 	 * The era of the newest answer.
 	 * @return the era; 0 where the store has never said one
@@ -87,38 +91,46 @@
 			return new StoreReply.Unavailable<>("of era " + answerEra + ", now " + this.current);
 		}
 		if (saidEra != UNSAID) {
-			advance(saidEra, "store");
+			advance(saidEra);
 		}
 		boolean outlived = question.tied() && answerEra != question.era();
 		return (outlived && reply instanceof StoreReply.Found<T>) ? new StoreReply.Outdated<>() : reply;
 	}
 
 	/**
-	 * Hears of an era from another router.
-	 * @param era the era that it knows
+	 * Hears of an era from another router. Answers are judged by what the store says
+	 * itself: a message that names an era which never was would make all of them late.
+	 * @param era the era that it has from the store
 	 */
 	void heard(long era) {
 		// Without an answer of the store this router has nothing that could be outlived.
-		if (this.known) {
-			advance(era, "router");
+		if (this.known && era > this.told) {
+			tell(era, "router");
 		}
 	}
 
-	private void advance(long era, String source) {
+	private void advance(long era) {
 		if (this.known && era <= this.current) {
 			return;
 		}
-		boolean returned = this.known;
-		logger.atInfo()
-			.log("event=%s era=%d before=%d from=%s", returned ? "store-returned" : "store-era", era, this.current,
-					source);
+		boolean first = !this.known;
 		this.known = true;
 		this.current = era;
-		if (returned) {
-			this.listeners.forEach(Runnable::run);
+		if (first) {
+			logger.atInfo().log("event=store-era era=%d", era);
+			this.told = era;
+		}
+		else if (era > this.told) {
+			tell(era, "store");
 		}
 	}
 
+	private void tell(long era, String source) {
+		logger.atInfo().log("event=store-returned era=%d before=%d from=%s", era, this.told, source);
+		this.told = era;
+		this.listeners.forEach(Runnable::run);
+	}
+
 	/**
 	 * Begins a question that makes sense under any era: a read of the newest state.
 	 * @return the question
--- /dev/null
+++ b/whinjunction-router/src/test/java/io/whinjunction/router/ConfigurationTrustTests.java
@@ -0,0 +1,77 @@
+package io.whinjunction.router;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * When a read of the configuration proves that it is the newest.
+ */
+class ConfigurationTrustTests {
+
+	private static final long PROOF_GOOD_MS = 5000;
+
+	private static final long NOW_MS = 100_000;
+
+	private final StoreEra era = new StoreEra();
+
+	private final ConfigurationTrust trust = new ConfigurationTrust(this.era, PROOF_GOOD_MS);
+
+	@Test
+	void aStoreThatNamesNoEraIsTrustedAtOnce() {
+		assertThat(this.trust.proves(4, NOW_MS, NOW_MS)).isTrue();
+	}
+
+	// A router that starts reads an old version from the copy, and the first other one
+	// that it hears is behind as well.
+	@Test
+	void oneOfSeveralOthersIsNotEnough() {
+		knowEra();
+		this.trust.consulting(2);
+		this.trust.heard(4, "10.0.0.1:1", NOW_MS);
+		this.trust.heard(4, "10.0.0.1:1", NOW_MS);
+		assertThat(this.trust.proves(4, NOW_MS, NOW_MS)).isFalse();
+
+		this.trust.heard(5, "10.0.0.2:1", NOW_MS);
+		assertThat(this.trust.confirmed()).isTrue();
+		assertThat(this.trust.proves(4, NOW_MS, NOW_MS)).isFalse();
+		assertThat(this.trust.proves(5, NOW_MS, NOW_MS)).isTrue();
+	}
+
+	@Test
+	void aRouterThatIsAloneWaitsForNobody() {
+		knowEra();
+		this.trust.consulting(0);
+
+		assertThat(this.trust.proves(4, NOW_MS, NOW_MS)).isTrue();
+	}
+
+	// A message names a version that never was: keys would not be honoured any more.
+	@Test
+	void aLaterVersionThatNobodyNamesAnyMoreIsForgotten() {
+		this.trust.heard(Long.MAX_VALUE, "10.0.0.1:1", NOW_MS);
+		assertThat(this.trust.proves(4, NOW_MS, NOW_MS)).isFalse();
+
+		long laterMs = NOW_MS + PROOF_GOOD_MS;
+		assertThat(this.trust.proves(4, laterMs, laterMs)).isTrue();
+	}
+
+	// A key was taken away by a version that the store has lost, and no router has read
+	// it: what the copy says seems to be the newest until operators have written again.
+	@Test
+	void rightAfterAReturnNothingIsProvedAndWhatWasProvedBeforeLasts() {
+		this.trust.storeReturned(0, NOW_MS);
+
+		assertThat(this.trust.proves(4, NOW_MS + 1, NOW_MS + 1)).isFalse();
+		assertThat(this.trust.returnAgeMs(NOW_MS + 1)).isEqualTo(1);
+
+		long laterMs = NOW_MS + PROOF_GOOD_MS / 2;
+		assertThat(this.trust.proves(4, laterMs, laterMs)).isTrue();
+		assertThat(this.trust.returnAgeMs(laterMs)).isEqualTo(-1);
+	}
+
+	private void knowEra() {
+		this.era.judge(this.era.free(), 3, new StoreReply.Found<>(""));
+	}
+
+}
--- a/whinjunction-router/src/test/java/io/whinjunction/router/StoreEraTests.java
+++ b/whinjunction-router/src/test/java/io/whinjunction/router/StoreEraTests.java
@@ -32,11 +32,23 @@
 		answer(this.era.free(), 2);
 		this.era.heard(2);
 		this.era.heard(4);
+		answer(this.era.free(), 4);
 
 		assertThat(this.era.current()).isEqualTo(4);
 		assertThat(this.returns).isEqualTo(2);
 	}
 
+	// A message names an era that never was, and every answer of the store would count as
+	// one of an earlier era from then on.
+	@Test
+	void answersAreJudgedByWhatTheStoreSaysItself() {
+		answer(this.era.free(), 1);
+		this.era.heard(Long.MAX_VALUE);
+
+		assertThat(answer(this.era.free(), 1)).isEqualTo(found());
+		assertThat(this.era.current()).isEqualTo(1);
+	}
+
 	// A watch goes on over a gap: the store has given the revision out again, and answers
 	// as if nothing had happened.
 	@Test
