--- a/whinjunction-router/src/test/java/io/whinjunction/router/DirectoryKeeperTests.java
+++ b/whinjunction-router/src/test/java/io/whinjunction/router/DirectoryKeeperTests.java
@@ -8,10 +8,9 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
-import io.netty.channel.DefaultEventLoop;
 import io.netty.channel.EventLoop;
+import io.netty.channel.embedded.EmbeddedChannel;
 import io.whinjunction.store.StoreVersion;
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -24,7 +23,9 @@
 
 	private static final long DRAIN_MS = 2000;
 
-	private final EventLoop loop = new DefaultEventLoop();
+	private final EmbeddedChannel channel = new EmbeddedChannel();
+
+	private final EventLoop loop = this.channel.eventLoop();
 
 	private final UpstreamDirectory directory = new UpstreamDirectory((upstream) -> {
 	});
@@ -67,11 +68,6 @@
 					new UpstreamListing(List.of(upstream("a", 1), upstream("b", 1)), Versions.v(10))));
 	}
 
-	@AfterEach
-	void stop() {
-		this.loop.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS).awaitUninterruptibly();
-	}
-
 	@Test
 	void whatAnotherRouterKnowsBeyondOnesOwnListIsAskedForAndApplied() {
 		hear(new ListState(Versions.v(12), 12, 0, true));
@@ -163,6 +159,28 @@
 		assertThat(this.keeper.state().ageMs()).isEqualTo(DRAIN_MS);
 	}
 
+	// An upstream that lives is given up: it has written itself again after the store's
+	// return, and this router hasn't read since.
+	@Test
+	void whoeverTheStoreHasLostIsGivenUpOnlyByALaterProof() {
+		this.keeper.storeReturned();
+		pass(DRAIN_MS);
+		StoreVersion returned = new StoreVersion(1, 5);
+		this.lists.getLast().accept(new StoreReply.Found<>(new UpstreamListing(List.of(upstream("b", 1)), returned)));
+		pass(3 * DRAIN_MS);
+		assertThat(this.directory.find("a")).isNotNull();
+
+		this.nowMs += 3 * DRAIN_MS;
+		hear(new ListState(returned.at(6), 5, 0, true));
+		pass(DRAIN_MS);
+		assertThat(this.directory.find("a")).isNull();
+	}
+
+	private void pass(long durationMs) {
+		this.channel.advanceTimeBy(durationMs, TimeUnit.MILLISECONDS);
+		this.channel.runScheduledPendingTasks();
+	}
+
 	private void hear(ListState state) {
 		this.keeper.heard("10.0.0.2:1", state, this.nowMs);
 	}
