Attempts and requests are logged with what their repeats have in common

A log names a request by the id of one try, so that nobody could tell whether the drafts under which engines end are one and the same. Each line gets a fingerprint of caller, method, host, path and body, and an attempt the number of times events came, which tells a request that was beginning from one that had run for a while. Nothing else changes.

--- a/whinjunction-router/src/main/java/io/whinjunction/router/Attempt.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/Attempt.java
@@ -223,6 +223,14 @@
 		return this.pieces > 1;
 	}
 
+	/**
+	 * How many times whole events came of the stream.
+	 * @return the number; 0 where the answer is no stream
+	 */
+	int pieces() {
+		return this.pieces;
+	}
+
 	int promptTokens() {
 		return this.session.request().promptTokens();
 	}
--- a/whinjunction-router/src/main/java/io/whinjunction/router/ForwardSession.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/ForwardSession.java
@@ -2,6 +2,7 @@
 
 import java.util.HashSet;
 import java.util.List;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -13,6 +14,7 @@
 import io.whinjunction.chain.Hop;
 import io.whinjunction.forward.AttemptEnd;
 import io.whinjunction.forward.NextStep;
+import io.whinjunction.forward.RequestFingerprint;
 import io.whinjunction.forward.RetryPolicy;
 import io.whinjunction.routing.RequestKind;
 import io.whinjunction.routing.Route;
@@ -61,6 +63,9 @@
 	/** Upstreams that it was sent to. */
 	private final Set<String> sentTo = new HashSet<>();
 
+	/** {@code null} until the body is read as far as it is kept. */
+	private RequestFingerprint fingerprint;
+
 	private Route route;
 
 	private RoutedTeam team;
@@ -220,6 +225,8 @@
 	}
 
 	private void tryFirst() {
+		this.fingerprint = RequestFingerprint.of(Objects.requireNonNullElse(teamName(), ""), this.request.method(),
+				this.request.host(), this.request.uri(), this.body.soFar().nioBuffer());
 		if (outlivesRouter()) {
 			giveUp(new NextStep.Refuse(), STOPPING);
 			return;
@@ -503,6 +510,14 @@
 		return this.service;
 	}
 
+	/**
+	 * What the request has in common with its repeats.
+	 * @return the fingerprint; {@code null} before the first attempt
+	 */
+	RequestFingerprint fingerprint() {
+		return this.fingerprint;
+	}
+
 	String teamName() {
 		return (this.team != null) ? this.team.name() : null;
 	}
--- a/whinjunction-router/src/main/java/io/whinjunction/router/RequestLog.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/RequestLog.java
@@ -29,9 +29,9 @@
 		router.metrics().ended(kind, outcome, tookMs);
 		RoutingConfiguration configuration = router.configuration();
 		logger.atInfo()
-			.log("event=request id=%s outcome=%s reason=%s kind=%s route=%s service=%s team=%s sent=%d not-sent=%d "
+			.log("event=request id=%s print=%s outcome=%s reason=%s kind=%s route=%s service=%s team=%s sent=%d not-sent=%d "
 					+ "events=%d tokens=%d+%d %s took-ms=%d aim-ms=%d gap-aim-ms=%d taken-in-stop-ms=%s %s version=%d proof-age-ms=%d",
-					session.request().id(), outcome, reason, kind,
+					session.request().id(), print(session), outcome, reason, kind,
 					(session.route() != null) ? session.route().name() : "-",
 					(session.service() != null) ? session.service().name() : "-",
 					(session.teamName() != null) ? session.teamName() : "-", session.sent(), session.notSent(),
@@ -41,6 +41,10 @@
 					(configuration != null) ? configuration.version() : -1, router.proof().ageMs(router.bootMs()));
 	}
 
+	private static String print(ForwardSession session) {
+		return (session.fingerprint() != null) ? session.fingerprint().toString() : "-";
+	}
+
 	// When the request came, counted from the signal to stop: negative where it was under
 	// way before.
 	private static String takenInStopMs(RouterContext router, long tookMs) {
@@ -86,9 +90,10 @@
 		String kind = end.getClass().getSimpleName();
 		session.router().metrics().attempt(kind);
 		logger.atInfo()
-			.log("event=attempt id=%s end=%s reason=\"%s\" upstream=%s faulty=%s hops=%d left-ms=%d",
-					session.request().id(), kind, end.reason(), attempt.target().first().id(),
-					(faultyAddress != null) ? faultyAddress : "-", attempt.target().path().size(), session.leftMs());
+			.log("event=attempt id=%s print=%s end=%s reason=\"%s\" upstream=%s faulty=%s hops=%d events=%d left-ms=%d",
+					session.request().id(), print(session), kind, end.reason(), attempt.target().first().id(),
+					(faultyAddress != null) ? faultyAddress : "-", attempt.target().path().size(), attempt.pieces(),
+					session.leftMs());
 	}
 
 }
