Requests that crash upstreams are remembered in the store when all routers end

All routers may end at once, and with them what they know: a request that had ended three engines ended three more before the new ones refused it. What is refused stands in the store, an object a request, written by whoever saw the last crash and by one router besides; each router reads it at its start, and the object goes when the request runs well or is forgotten. Two calls a refused request and one a start.

--- a/whinjunction-core/src/main/java/io/whinjunction/forward/CrashingRequests.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/forward/CrashingRequests.java
@@ -64,6 +64,8 @@
 	/** Bounds a message. */
 	static final int MOST_TOLD = 48;
 
+	private static final long NEVER_MS = Long.MIN_VALUE / 2;
+
 	/** News is told for this long, in milliseconds, until all routers have it. */
 	static final long SPREAD_MS = 3000;
 
@@ -97,7 +99,7 @@
 			suspect.triedAtMs = nowMs;
 			return Optional.empty();
 		}
-		return Optional.of(new Refusal(suspect.crashes.size(), Math.max(leftMs, SPREAD_MS)));
+		return Optional.of(new Refusal(suspect.counted(), Math.max(leftMs, SPREAD_MS)));
 	}
 
 	/**
@@ -171,11 +173,38 @@
 	}
 
 	/**
-	 * How many requests are refused.
-	 * @return the number
+	 * A request that routers before this one have found to crash upstreams.
+	 * @param fingerprint the request
+	 * @param nowMs the time
+	 */
+	public void restored(RequestFingerprint fingerprint, long nowMs) {
+		Suspect suspect = this.suspects.computeIfAbsent(fingerprint.value(), (value) -> new Suspect());
+		if (!suspect.refused()) {
+			suspect.restoredAtMs = nowMs;
+			changed(fingerprint.value(), suspect, nowMs);
+		}
+	}
+
+	/**
+	 * Whether a request is refused, unless it is tried again.
+	 * @param fingerprint the request
+	 * @return whether it is
+	 */
+	public boolean isRefused(RequestFingerprint fingerprint) {
+		Suspect suspect = this.suspects.get(fingerprint.value());
+		return suspect != null && suspect.refused();
+	}
+
+	/**
+	 * Which requests are refused.
+	 * @return their fingerprints
 	 */
-	public int refused() {
-		return (int) this.suspects.values().stream().filter(Suspect::refused).count();
+	public List<RequestFingerprint> refusedOnes() {
+		return this.suspects.entrySet()
+			.stream()
+			.filter((entry) -> entry.getValue().refused())
+			.map((entry) -> new RequestFingerprint(entry.getKey()))
+			.toList();
 	}
 
 	private int count(long fingerprint, String upstream, long atMs, long nowMs) {
@@ -199,7 +228,7 @@
 		this.ranWellAtMs.remove(fingerprint);
 		this.ranWellAtMs.put(fingerprint, atMs);
 		Suspect suspect = this.suspects.get(fingerprint);
-		if (suspect != null && suspect.crashes.removeIf((crash) -> atMs >= crash.atMs() - HARMLESS_MS)) {
+		if (suspect != null && suspect.clear(atMs + HARMLESS_MS)) {
 			changed(fingerprint, suspect, nowMs);
 		}
 	}
@@ -226,8 +255,8 @@
 
 	private void forget(long nowMs) {
 		this.suspects.values().removeIf((suspect) -> {
-			suspect.crashes.removeIf((crash) -> nowMs - crash.atMs() >= REMEMBERED_MS);
-			return suspect.crashes.isEmpty() && nowMs - suspect.changedAtMs >= SPREAD_MS;
+			suspect.clear(nowMs - REMEMBERED_MS);
+			return !suspect.refused() && suspect.crashes.isEmpty() && nowMs - suspect.changedAtMs >= SPREAD_MS;
 		});
 	}
 
@@ -248,9 +277,12 @@
 
 		private final List<Crash> crashes = new ArrayList<>();
 
+		/** When it was read that routers before this one refused it. */
+		private long restoredAtMs = NEVER_MS;
+
 		private long changedAtMs;
 
-		private long triedAtMs = Long.MIN_VALUE / 2;
+		private long triedAtMs = NEVER_MS;
 
 		boolean knows(String upstream, long atMs) {
 			return this.crashes.stream()
@@ -258,16 +290,27 @@
 						(crash) -> crash.upstream().equals(upstream) && Math.abs(crash.atMs() - atMs) < SAME_CRASH_MS);
 		}
 
+		// What was restored counts as found just now, with as many crashes as it takes.
+		int counted() {
+			return (this.restoredAtMs != NEVER_MS) ? Math.max(MOST_CRASHES, this.crashes.size()) : this.crashes.size();
+		}
+
 		boolean refused() {
-			return this.crashes.size() >= MOST_CRASHES;
+			return counted() >= MOST_CRASHES;
+		}
+
+		boolean clear(long untilMs) {
+			boolean restored = this.restoredAtMs != NEVER_MS && this.restoredAtMs <= untilMs;
+			this.restoredAtMs = restored ? NEVER_MS : this.restoredAtMs;
+			return this.crashes.removeIf((crash) -> crash.atMs() <= untilMs) || restored;
 		}
 
 		long pausedUntilMs() {
 			long pauseMs = FIRST_PAUSE_MS;
-			for (int more = MOST_CRASHES; more < this.crashes.size(); more++) {
+			for (int more = MOST_CRASHES; more < counted(); more++) {
 				pauseMs *= PAUSE_GROWTH;
 			}
-			long lastMs = this.crashes.stream().mapToLong(Crash::atMs).max().orElse(0);
+			long lastMs = this.crashes.stream().mapToLong(Crash::atMs).max().orElse(this.restoredAtMs);
 			return Math.max(lastMs, this.triedAtMs) + pauseMs;
 		}
 
--- a/whinjunction-core/src/main/java/io/whinjunction/forward/RequestFingerprint.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/forward/RequestFingerprint.java
@@ -3,6 +3,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.HexFormat;
+import java.util.Optional;
 import java.util.zip.CRC32;
 import java.util.zip.CRC32C;
 
@@ -47,6 +48,18 @@
 		return new RequestFingerprint(high.getValue() << CHECKSUM_BITS | low.getValue());
 	}
 
+	/**
+	 * Reads what {@link #toString()} wrote.
+	 * @param text 16 hexadecimal digits
+	 * @return the fingerprint, or empty where the text is none
+	 */
+	public static Optional<RequestFingerprint> parse(String text) {
+		if (text.length() != Long.BYTES * 2 || !text.chars().allMatch(HexFormat::isHexDigit)) {
+			return Optional.empty();
+		}
+		return Optional.of(new RequestFingerprint(HexFormat.fromHexDigitsToLong(text)));
+	}
+
 	@Override
 	public String toString() {
 		return HexFormat.of().toHexDigits(this.value);
--- a/whinjunction-core/src/main/java/io/whinjunction/http/Call.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/http/Call.java
@@ -32,6 +32,17 @@
 		return new Call("GET", address, pathAndQuery, List.of(), NO_BODY, timeoutMs, false);
 	}
 
+	/**
+	 * A call that removes what is at a path, on a kept connection.
+	 * @param address {@code HOST:PORT}
+	 * @param pathAndQuery path and query
+	 * @param timeoutMs the whole call's limit
+	 * @return the call
+	 */
+	public static Call remove(String address, String pathAndQuery, long timeoutMs) {
+		return new Call("DELETE", address, pathAndQuery, List.of(), NO_BODY, timeoutMs, false);
+	}
+
 	/**
 	 * A call with a JSON body on a kept connection.
 	 * @param method the method
--- a/whinjunction-core/src/test/java/io/whinjunction/forward/CrashingRequestsTests.java
+++ b/whinjunction-core/src/test/java/io/whinjunction/forward/CrashingRequestsTests.java
@@ -189,6 +189,18 @@
 			.isEqualTo(CRASHING);
 	}
 
+	@Test
+	void whatRoutersBeforeRefusedIsRefusedAndTriedAgainLikeTheirs() {
+		this.requests.restored(CRASHING, START_MS);
+
+		assertThat(refused(CRASHING, 1)).isTrue();
+		assertThat(refusal(CrashingRequests.FIRST_PAUSE_MS, true)).isEmpty();
+		assertThat(crash(CRASHING, "e-4", CrashingRequests.FIRST_PAUSE_MS + 5)).isEqualTo(1);
+		assertThat(refused(CRASHING, CrashingRequests.FIRST_PAUSE_MS + 10)).isTrue();
+		this.requests.ranWell(CRASHING, START_MS + CrashingRequests.FIRST_PAUSE_MS + 20);
+		assertThat(refused(CRASHING, CrashingRequests.FIRST_PAUSE_MS + 30)).isFalse();
+	}
+
 	@Test
 	void agesThatMakeNoSenseAreNotTaken() {
 		List<CrashHistory.Crash> crashes = List.of(new CrashHistory.Crash("e-1", -5),
--- a/whinjunction-core/src/test/java/io/whinjunction/forward/RequestFingerprintTests.java
+++ b/whinjunction-core/src/test/java/io/whinjunction/forward/RequestFingerprintTests.java
@@ -43,6 +43,15 @@
 			.isEqualTo(print("agency", "POST", "/draft/1", "x".repeat(50_000)));
 	}
 
+	@Test
+	void aFingerprintIsReadAsItWasWritten() {
+		RequestFingerprint print = new RequestFingerprint(-7);
+
+		assertThat(RequestFingerprint.parse(print.toString())).contains(print);
+		assertThat(RequestFingerprint.parse("")).isEmpty();
+		assertThat(RequestFingerprint.parse("not a fingerprint")).isEmpty();
+	}
+
 	@Test
 	void theBodyIsReadAgainAfterwards() {
 		ByteBuffer body = ByteBuffer.wrap("a prompt".getBytes(StandardCharsets.UTF_8));
--- a/whinjunction-router/src/main/java/io/whinjunction/router/CrashGuard.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/CrashGuard.java
@@ -28,20 +28,28 @@
 
 	private final CrashingRequests requests = new CrashingRequests();
 
+	private final CrashRecords records;
+
 	private List<CrashHistory> told = List.of();
 
 	private long toldAtMs = -PeerLink.PERIOD_MS;
 
 	/**
 	 * A guard that has seen nothing yet.
-	 * @param router the clock and the other routers
-	 * @param tellNow tells many of these at once
+	 * @param router the clock, the event loop and the other routers
+	 * @param store where refused requests are recorded
+	 * @param tellNow tells many other routers at once
 	 */
-	CrashGuard(RouterContext router, Runnable tellNow) {
+	CrashGuard(RouterContext router, FleetStore store, Runnable tellNow) {
 		this.router = router;
+		this.records = new CrashRecords(router, store, this.requests);
 		this.tellNow = tellNow;
 	}
 
+	CrashRecords records() {
+		return this.records;
+	}
+
 	/**
 	 * Whether a request has to be refused.
 	 * @param requestId names it in the log
@@ -73,6 +81,7 @@
 					upstream.incarnation(), crashes >= CrashingRequests.MOST_CRASHES);
 		this.toldAtMs -= PeerLink.PERIOD_MS;
 		this.tellNow.run();
+		this.records.saw(fingerprint);
 	}
 
 	/**
@@ -81,6 +90,7 @@
 	 */
 	void ranWell(RequestFingerprint fingerprint) {
 		this.requests.ranWell(fingerprint, this.router.nowMs());
+		this.records.saw(fingerprint);
 	}
 
 	/**
@@ -101,9 +111,9 @@
 	 * @param histories what it knows
 	 */
 	void heard(List<CrashHistory> histories) {
-		int before = this.requests.refused();
+		int before = this.requests.refusedOnes().size();
 		histories.forEach((history) -> this.requests.heard(history, this.router.nowMs()));
-		int refused = this.requests.refused();
+		int refused = this.requests.refusedOnes().size();
 		if (refused != before) {
 			logger.atWarning().log("event=crashing-requests-heard refused=%d before=%d", refused, before);
 		}
@@ -114,7 +124,7 @@
 	 * @return the number
 	 */
 	int refused() {
-		return this.requests.refused();
+		return this.requests.refusedOnes().size();
 	}
 
 }
--- a/whinjunction-router/src/main/java/io/whinjunction/router/FleetStore.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/FleetStore.java
@@ -67,6 +67,27 @@
 	 */
 	void writeLease(LeaseObject lease, Consumer<StoreReply<LeaseObject>> done);
 
+	/**
+	 * Reads which requests are refused since they crash upstreams.
+	 * @param done takes the names under which they were recorded
+	 */
+	void readCrashing(Consumer<StoreReply<List<String>>> done);
+
+	/**
+	 * Records that a request is refused since it crashes upstreams.
+	 * @param name the request
+	 * @param done takes the reply; {@link StoreReply.Outdated} where that is recorded
+	 * already
+	 */
+	void recordCrashing(String name, Consumer<StoreReply<Boolean>> done);
+
+	/**
+	 * Removes the record of a request that isn't refused any more.
+	 * @param name the request
+	 * @param done takes the reply; {@link StoreReply.Absent} where there was none
+	 */
+	void removeCrashing(String name, Consumer<StoreReply<Boolean>> done);
+
 	/**
 	 * A configuration from another router. Immutable.
 	 *
--- a/whinjunction-router/src/main/java/io/whinjunction/router/Router.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/Router.java
@@ -157,7 +157,7 @@
 		this.pool = new UpstreamPool(this.loop, this.dialect, this.ticker);
 		this.directory = new UpstreamDirectory((upstream) -> this.pool.drop(upstream.incarnation()));
 		this.watch = new EngineWatch(this, ports.engines(), this::engineNews, () -> leadership().holds());
-		this.crashGuard = new CrashGuard(this, () -> peerLink().tellNow());
+		this.crashGuard = new CrashGuard(this, ports.store(), () -> peerLink().tellNow());
 		this.store = ports.store();
 		this.engines = ports.engines();
 		this.configurationKeeper = new ConfigurationKeeper(this.loop, ports.store(), this.proof, boot,
@@ -190,6 +190,7 @@
 				() -> this.proof.ageMs(this.boot.nowMs()));
 		listen(this.settings.peers(), (channel) -> channel.pipeline().addLast(new HttpServerCodec(), documents));
 		announce();
+		this.crashGuard.records().read();
 		this.loop.schedule(this.callersPort::close, CallersPort.MOST_WAIT_MS, TimeUnit.MILLISECONDS);
 		this.loop.scheduleAtFixedRate(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
 		ReadyHandler ready = new ReadyHandler(this.dialect.readyPath(), this::ready, this.metrics);
@@ -254,6 +255,7 @@
 		this.leadership.storeReturned();
 		this.configurationKeeper.storeReturned();
 		this.directoryKeeper.storeReturned();
+		this.crashGuard.records().storeReturned();
 		long spreadMs = ANNOUNCE_SPREAD_MS_PER_ROUTER * this.peers.sharers(nowMs());
 		this.loop.schedule(this::announce, this.random.nextLong(spreadMs), TimeUnit.MILLISECONDS);
 	}
@@ -344,6 +346,7 @@
 	private void sweep() {
 		this.runningTimes.note(bootMs());
 		this.pool.sweep();
+		this.crashGuard.records().reconcile();
 		long idleMs = (configuration() != null) ? configuration().limits().idleTimeoutMs()
 				: CallerLimits.DEFAULT.idleTimeoutMs();
 		long nowMs = nowMs();
--- a/whinjunction-router/src/test/java/io/whinjunction/router/ModelStore.java
+++ b/whinjunction-router/src/test/java/io/whinjunction/router/ModelStore.java
@@ -303,6 +303,21 @@
 			}, done);
 		}
 
+		@Override
+		public void readCrashing(Consumer<StoreReply<List<String>>> done) {
+			done.accept(new StoreReply.Found<>(List.of()));
+		}
+
+		@Override
+		public void recordCrashing(String name, Consumer<StoreReply<Boolean>> done) {
+			throw new IllegalStateException("no request runs in the model");
+		}
+
+		@Override
+		public void removeCrashing(String name, Consumer<StoreReply<Boolean>> done) {
+			throw new IllegalStateException("no request runs in the model");
+		}
+
 		private LeaseObject object(Lease lease) {
 			return new LeaseObject(lease.holder, lease.fencing, lease.nonce,
 					new StoreVersion(ModelStore.this.era, lease.revision));
