--- a/whinjunction-router/src/main/java/io/whinjunction/router/Attempt.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/Attempt.java
@@ -324,12 +324,23 @@
 	@Override
 	public void onHead(UpstreamHead received, HttpResponse response) {
 		this.head = received;
+		noteLimit(received);
 		HttpHeaders headers = HopHeaders.withoutThem(response.headers());
 		boolean stream = this.session.route().kind() == RequestKind.STREAMING && received.success();
 		this.streaming = stream && received.genuine();
 		this.answer = new Answer(response.status(), headers, Unpooled.buffer(0));
 	}
 
+	private void noteLimit(UpstreamHead received) {
+		UpstreamState state = this.session.router().directory().find(this.target.first().incarnation());
+		if (state != null && state.limitPerSecond() != received.limitPerSecond()) {
+			logger.atInfo()
+				.log("event=upstream-limit upstream=%s per-second=%s before=%s id=%s", this.target.first().id(),
+						received.limitPerSecond(), state.limitPerSecond(), this.session.request().id());
+			state.limitPerSecond(received.limitPerSecond());
+		}
+	}
+
 	@Override
 	public void onContent(ByteBuf content) {
 		if (this.ended) {
