Routers keep the limit that an upstream names, all together

Cause: the header was passed on to callers and read by nobody; engines are chosen by memory and pace alone. Evidence: arrivals are the same before and after it is named, for as long as the figures reach, so it is no matter of requests on their way.

Each router keeps its part of the limit (UpstreamLimits, SharedRate): as many routers send there as the limit leaves room for one request each at once, chosen by name, at equal parts of nine tenths of it; nothing is saved up beyond one request, so that idle routers don't send all at once. The word passes between routers, since whoever doesn't send there doesn't hear it; the latest holds until an answer of the upstream's own work names none. An upstream whose part is used up is not chosen to begin with, and where that leaves none the caller is refused at once.

--- a/whinjunction-core/src/main/java/io/whinjunction/limit/package-info.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/limit/package-info.java
@@ -1,4 +1,5 @@
 /**
- * Teams' rates, shared by all entries without a platform call per request.
+ * Rates that many processes share: those of teams, without a platform call per request,
+ * and those that upstreams name.
  */
 package io.whinjunction.limit;
--- a/whinjunction-protocol/src/main/thrift/router.thrift
+++ b/whinjunction-protocol/src/main/thrift/router.thrift
@@ -99,10 +99,24 @@
   1: required list<CrashReport> reports
 }
 
+/* What an upstream said last of the requests that it takes. */
+struct UpstreamLimitWord {
+  /* Its name and start. */
+  1: required string upstream
+  /* Requests a second from all routers together; -1: it names no limit any more. */
+  2: required double perSecond
+  3: required i64 ageMs
+}
+
+struct UpstreamLimitWords {
+  1: required list<UpstreamLimitWord> words
+}
+
 /* What stands in a datagram. */
 union RouterMessage {
   1: RouterStatus status
   2: ChangesQuestion changesQuestion
   3: ChangesAnswer changesAnswer
   4: CrashReports crashReports
+  5: UpstreamLimitWords limits
 }
--- a/whinjunction-router/src/main/java/io/whinjunction/router/Attempt.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/Attempt.java
@@ -85,6 +85,7 @@
 
 	void start() {
 		this.load.began();
+		this.session.router().limits().sent(this.target.first().incarnation());
 		// A kept connection may end at the very moment at which a request is written to
 		// it, and then nobody knows whether it ran. What must not be repeated gets a new
 		// one, which costs a millisecond.
@@ -324,23 +325,13 @@
 	@Override
 	public void onHead(UpstreamHead received, HttpResponse response) {
 		this.head = received;
-		noteLimit(received);
+		this.session.router().limits().heard(this.target.first().incarnation(), received);
 		HttpHeaders headers = HopHeaders.withoutThem(response.headers());
 		boolean stream = this.session.route().kind() == RequestKind.STREAMING && received.success();
 		this.streaming = stream && received.genuine();
 		this.answer = new Answer(response.status(), headers, Unpooled.buffer(0));
 	}
 
-	private void noteLimit(UpstreamHead received) {
-		UpstreamState state = this.session.router().directory().find(this.target.first().incarnation());
-		if (state != null && state.limitPerSecond() != received.limitPerSecond()) {
-			logger.atInfo()
-				.log("event=upstream-limit upstream=%s per-second=%s before=%s id=%s", this.target.first().id(),
-						received.limitPerSecond(), state.limitPerSecond(), this.session.request().id());
-			state.limitPerSecond(received.limitPerSecond());
-		}
-	}
-
 	@Override
 	public void onContent(ByteBuf content) {
 		if (this.ended) {
--- a/whinjunction-router/src/main/java/io/whinjunction/router/PeerCodec.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/PeerCodec.java
@@ -14,6 +14,8 @@
 import io.whinjunction.protocol.generated.RouterMessage;
 import io.whinjunction.protocol.generated.RouterStatus;
 import io.whinjunction.protocol.generated.UpstreamCrash;
+import io.whinjunction.protocol.generated.UpstreamLimitWord;
+import io.whinjunction.protocol.generated.UpstreamLimitWords;
 import io.whinjunction.store.StoreVersion;
 import org.apache.thrift.TDeserializer;
 import org.apache.thrift.TException;
@@ -45,6 +47,8 @@
 			case PeerStatus status -> RouterMessage.status(encoded(status));
 			case PeerMessage.ChangesQuestion question -> RouterMessage.changesQuestion(encoded(question));
 			case PeerMessage.ChangesAnswer answer -> RouterMessage.changesAnswer(encoded(answer.changes()));
+			case PeerMessage.Limits limits ->
+				RouterMessage.limits(new UpstreamLimitWords(limits.limits().stream().map(PeerCodec::encoded).toList()));
 			case PeerMessage.CrashReports reports -> RouterMessage
 				.crashReports(new CrashReports(reports.histories().stream().map(PeerCodec::encoded).toList()));
 		};
@@ -76,6 +80,10 @@
 				changes.version().era());
 	}
 
+	private static UpstreamLimitWord encoded(NamedLimit limit) {
+		return new UpstreamLimitWord(limit.upstream(), limit.perSecond(), limit.ageMs());
+	}
+
 	private static CrashReport encoded(CrashHistory history) {
 		List<UpstreamCrash> crashes = history.crashes()
 			.stream()
@@ -111,12 +119,22 @@
 		if (message.isSetChangesQuestion()) {
 			return Optional.of(decoded(message.getChangesQuestion()));
 		}
+		if (message.isSetLimits()) {
+			return Optional.of(decoded(message.getLimits()));
+		}
 		if (message.isSetCrashReports()) {
 			return Optional.of(decoded(message.getCrashReports()));
 		}
 		return message.isSetChangesAnswer() ? decoded(message.getChangesAnswer()) : Optional.empty();
 	}
 
+	private static PeerMessage decoded(UpstreamLimitWords words) {
+		return new PeerMessage.Limits(words.getWords()
+			.stream()
+			.map((word) -> new NamedLimit(word.getUpstream(), word.getPerSecond(), word.getAgeMs()))
+			.toList());
+	}
+
 	private static PeerMessage decoded(CrashReports reports) {
 		return new PeerMessage.CrashReports(reports.getReports().stream().map(PeerCodec::decoded).toList());
 	}
--- a/whinjunction-router/src/main/java/io/whinjunction/router/PeerConversation.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/PeerConversation.java
@@ -1,5 +1,6 @@
 package io.whinjunction.router;
 
+import java.util.ArrayList;
 import java.util.List;
 
 import io.whinjunction.forward.CrashHistory;
@@ -86,13 +87,27 @@
 	}
 
 	@Override
-	public List<CrashHistory> crashes() {
-		return this.router.crashGuard().told();
+	public List<PeerMessage> news() {
+		List<PeerMessage> news = new ArrayList<>();
+		List<CrashHistory> crashes = this.router.crashGuard().told();
+		if (!crashes.isEmpty()) {
+			news.add(new PeerMessage.CrashReports(crashes));
+		}
+		List<NamedLimit> limits = this.router.limits().told();
+		if (!limits.isEmpty()) {
+			news.add(new PeerMessage.Limits(limits));
+		}
+		return news;
+	}
+
+	@Override
+	public void heard(PeerMessage.CrashReports reports) {
+		this.router.crashGuard().heard(reports.histories());
 	}
 
 	@Override
-	public void heardOfCrashes(List<CrashHistory> histories) {
-		this.router.crashGuard().heard(histories);
+	public void heard(PeerMessage.Limits limits) {
+		this.router.limits().heard(limits.limits());
 	}
 
 }
--- a/whinjunction-router/src/main/java/io/whinjunction/router/PeerLink.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/PeerLink.java
@@ -17,7 +17,6 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
-import io.whinjunction.forward.CrashHistory;
 import io.whinjunction.store.StoreVersion;
 
 /**
@@ -126,16 +125,12 @@
 		byte[] bytes = this.codec.encode(this.handler.status(this.table.ask(this.router.bootMs()), false));
 		for (String target : targets) {
 			send(bytes, Addresses.parse(target));
-			tellCrashes(Addresses.parse(target));
+			tellNews(Addresses.parse(target));
 		}
 	}
 
-	// A message of its own, since there is seldom anything to tell.
-	private void tellCrashes(InetSocketAddress target) {
-		List<CrashHistory> crashes = this.handler.crashes();
-		if (!crashes.isEmpty()) {
-			send(this.codec.encode(new PeerMessage.CrashReports(crashes)), target);
-		}
+	private void tellNews(InetSocketAddress target) {
+		this.handler.news().forEach((message) -> send(this.codec.encode(message), target));
 	}
 
 	/**
@@ -158,14 +153,15 @@
 				this.handler.heard(status);
 				if (!status.answer()) {
 					send(this.codec.encode(this.handler.status(status.sequence(), true)), packet.sender());
-					tellCrashes(packet.sender());
+					tellNews(packet.sender());
 				}
 			}
 			case PeerMessage.ChangesQuestion question ->
 				send(this.codec.encode(new PeerMessage.ChangesAnswer(this.handler.changesAfter(question.after()))),
 						packet.sender());
 			case PeerMessage.ChangesAnswer answer -> this.handler.told(answer.changes());
-			case PeerMessage.CrashReports reports -> this.handler.heardOfCrashes(reports.histories());
+			case PeerMessage.CrashReports reports -> this.handler.heard(reports);
+			case PeerMessage.Limits limits -> this.handler.heard(limits);
 		}
 	}
 
@@ -204,16 +200,22 @@
 		void told(UpstreamChanges changes);
 
 		/**
-		 * Requests under which upstreams ended.
-		 * @return what this router tells others of them; empty nearly always
+		 * What there is seldom anything to tell of; each is a message of its own.
+		 * @return the messages; none nearly always
 		 */
-		List<CrashHistory> crashes();
+		List<PeerMessage> news();
 
 		/**
 		 * Takes what another router says of requests under which upstreams ended.
-		 * @param histories what it knows of each
+		 * @param reports what it knows
+		 */
+		void heard(PeerMessage.CrashReports reports);
+
+		/**
+		 * Takes what another router says of limits that upstreams name.
+		 * @param limits what it has heard
 		 */
-		void heardOfCrashes(List<CrashHistory> histories);
+		void heard(PeerMessage.Limits limits);
 
 	}
 
--- a/whinjunction-router/src/main/java/io/whinjunction/router/PeerMessage.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/PeerMessage.java
@@ -8,8 +8,8 @@
 /**
  * What a datagram from one router to another says. Immutable.
  */
-sealed interface PeerMessage
-		permits PeerStatus, PeerMessage.ChangesQuestion, PeerMessage.ChangesAnswer, PeerMessage.CrashReports {
+sealed interface PeerMessage permits PeerStatus, PeerMessage.ChangesQuestion, PeerMessage.ChangesAnswer,
+		PeerMessage.CrashReports, PeerMessage.Limits {
 
 	/**
 	 * Asks for what changed in the list of upstreams.
@@ -28,6 +28,19 @@
 	record ChangesAnswer(UpstreamChanges changes) implements PeerMessage {
 	}
 
+	/**
+	 * Limits that upstreams name.
+	 *
+	 * @param limits the latest word on each upstream, as far as the sender has heard
+	 */
+	record Limits(List<NamedLimit> limits) implements PeerMessage {
+
+		public Limits {
+			limits = List.copyOf(limits);
+		}
+
+	}
+
 	/**
 	 * Requests under which upstreams ended.
 	 *
--- a/whinjunction-router/src/main/java/io/whinjunction/router/PeerTable.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/PeerTable.java
@@ -317,6 +317,19 @@
 		return this.byAddress.keySet().stream().noneMatch((address) -> distance(address, key) < own);
 	}
 
+	/**
+	 * This router's part of what only a few routers do.
+	 * @param key what is to be done
+	 * @param most how many routers do it at most
+	 * @return the part of each of them; 0 where this one is none of them
+	 */
+	double partOf(long key, int most) {
+		int own = distance(this.self, key);
+		long nearer = this.byAddress.keySet().stream().filter((address) -> distance(address, key) < own).count();
+		int doing = Math.min(most, 1 + this.byAddress.size());
+		return (nearer < doing) ? 1.0 / doing : 0;
+	}
+
 	private static int distance(String address, long key) {
 		return (address + key).hashCode() & Integer.MAX_VALUE;
 	}
--- a/whinjunction-router/src/main/java/io/whinjunction/router/Router.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/Router.java
@@ -103,6 +103,8 @@
 
 	private final CrashGuard crashGuard;
 
+	private final UpstreamLimits limits;
+
 	private final FleetStore store;
 
 	private final EngineControl engines;
@@ -166,7 +168,8 @@
 		this.leadership = new Leadership(this.loop, ports.store(), settings.name(), this.ticker,
 				() -> peers().hasLeader(nowMs()));
 		this.layerKeeper = new LayerKeeper(this, ports.engines(), this.leadership);
-		this.chooser = new TargetChooser(this.directory, this.peers, this.layerKeeper.paces(),
+		this.limits = new UpstreamLimits(this, this.random);
+		this.chooser = new TargetChooser(this.directory, this.peers, this.limits, this.layerKeeper.paces(),
 				settings.failureDomain());
 		this.directoryKeeper = new DirectoryKeeper(this, ports.store(), new DirectoryListener(),
 				() -> this.leadership.holds(), settings.bounds().drainMs(), this.random);
@@ -347,6 +350,7 @@
 		this.runningTimes.note(bootMs());
 		this.pool.sweep();
 		this.crashGuard.records().reconcile();
+		this.limits.sweep();
 		long idleMs = (configuration() != null) ? configuration().limits().idleTimeoutMs()
 				: CallerLimits.DEFAULT.idleTimeoutMs();
 		long nowMs = nowMs();
@@ -357,6 +361,7 @@
 		this.metrics.state("list_age_ms", this.directoryKeeper.state().ageMs());
 		this.metrics.state("upstreams", this.directory.size());
 		this.metrics.state("callers", this.callers.size());
+		this.metrics.state("limited_upstreams", this.limits.count());
 		this.metrics.state("crashing_requests", this.crashGuard.refused());
 		this.metrics.state("leading", this.leadership.holds() ? 1 : 0);
 	}
@@ -433,6 +438,11 @@
 		return this.crashGuard;
 	}
 
+	@Override
+	public UpstreamLimits limits() {
+		return this.limits;
+	}
+
 	@Override
 	public Set<CallerConnection> callers() {
 		return this.callers;
--- a/whinjunction-router/src/main/java/io/whinjunction/router/RouterContext.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/RouterContext.java
@@ -80,6 +80,12 @@
 	 */
 	CrashGuard crashGuard();
 
+	/**
+	 * Limits that upstreams name.
+	 * @return the limits
+	 */
+	UpstreamLimits limits();
+
 	/**
 	 * The callers' open connections.
 	 * @return the set, which connections add themselves to
--- a/whinjunction-router/src/main/java/io/whinjunction/router/TargetChooser.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/TargetChooser.java
@@ -21,8 +21,8 @@
 /**
  * Chooses where an attempt goes, from what the directory knows.
  * <p>
- * Invariant: what leaves or was tried before by the same request is not chosen. Confined
- * to the event loop.
+ * Invariant: what leaves, was tried before by the same request, or names a limit of which
+ * this router's part is used up is not chosen to begin with. Confined to the event loop.
  */
 final class TargetChooser {
 
@@ -30,6 +30,8 @@
 
 	private final PeerTable peers;
 
+	private final UpstreamLimits limits;
+
 	private final Map<String, Double> paces;
 
 	private final String failureDomain;
@@ -38,11 +40,14 @@
 	 * A chooser.
 	 * @param directory the upstreams
 	 * @param peers what other routers do and say
+	 * @param limits limits that upstreams name
 	 * @param paces how much slower than usual engines work, by name, as this router has
 	 * found itself; read at each choice
 	 * @param failureDomain where this router is
 	 */
-	TargetChooser(UpstreamDirectory directory, PeerTable peers, Map<String, Double> paces, String failureDomain) {
+	TargetChooser(UpstreamDirectory directory, PeerTable peers, UpstreamLimits limits, Map<String, Double> paces,
+			String failureDomain) {
+		this.limits = limits;
 		this.paces = paces;
 		this.directory = directory;
 		this.peers = peers;
@@ -65,7 +70,7 @@
 	private Optional<Target> chooseAgain(Set<String> tried) {
 		return tried.stream()
 			.map(this.directory::find)
-			.filter((state) -> state != null && !state.upstream().leaving())
+			.filter((state) -> state != null && !state.upstream().leaving() && takesMore(state))
 			.min(Comparator.comparingInt(UpstreamState::requests))
 			.map((state) -> new Target(state.upstream(), List.of()));
 	}
@@ -80,13 +85,14 @@
 			.thenComparing((state) -> state.upstream().incarnation());
 		return this.directory.staying(wish.service().name())
 			.stream()
-			.filter((state) -> !tried.contains(state.upstream().incarnation()))
+			.filter((state) -> !tried.contains(state.upstream().incarnation()) && takesMore(state))
 			.min(order)
 			.map((state) -> new Target(state.upstream(), List.of()));
 	}
 
 	private Optional<Target> chain(Wish wish, long nowMs) {
-		Predicate<Engine> mayStart = (engine) -> wish.onlyFirst() == null || wish.onlyFirst().contains(engine.id());
+		Predicate<Engine> mayStart = (engine) -> (wish.onlyFirst() == null || wish.onlyFirst().contains(engine.id()))
+				&& this.limits.allows(engine.id());
 		return PathFinder
 			.find(wish.service().model(), candidates(wish, nowMs), PathFinder.Start.whole(this.failureDomain, mayStart))
 			.map(this::target);
@@ -132,6 +138,10 @@
 		return candidates;
 	}
 
+	private boolean takesMore(UpstreamState state) {
+		return this.limits.allows(state.upstream().incarnation());
+	}
+
 	private double pace(Upstream upstream, long nowMs) {
 		return Math.max(this.paces.getOrDefault(upstream.incarnation(), 1.0),
 				this.peers.paceOf(upstream.incarnation(), nowMs));
--- a/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamState.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamState.java
@@ -14,8 +14,6 @@
 
 	private long unreadTokens;
 
-	private double limitPerSecond = -1;
-
 	private long avoidedUntilMs = Long.MIN_VALUE;
 
 	UpstreamState(Upstream upstream) {
@@ -68,18 +66,6 @@
 		this.unreadTokens -= promptTokens;
 	}
 
-	/**
-	 * The limit that the upstream named last.
-	 * @return requests a second from all routers together; -1 where it names none
-	 */
-	double limitPerSecond() {
-		return this.limitPerSecond;
-	}
-
-	void limitPerSecond(double perSecond) {
-		this.limitPerSecond = perSecond;
-	}
-
 	void avoidUntil(long untilMs) {
 		this.avoidedUntilMs = untilMs;
 	}
--- a/whinjunction-router/src/test/java/io/whinjunction/router/PeerLinkTests.java
+++ b/whinjunction-router/src/test/java/io/whinjunction/router/PeerLinkTests.java
@@ -15,7 +15,6 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.whinjunction.configuration.LayerRange;
-import io.whinjunction.forward.CrashHistory;
 import io.whinjunction.store.StoreVersion;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -87,12 +86,16 @@
 			}
 
 			@Override
-			public List<CrashHistory> crashes() {
+			public List<PeerMessage> news() {
 				return List.of();
 			}
 
 			@Override
-			public void heardOfCrashes(List<CrashHistory> histories) {
+			public void heard(PeerMessage.CrashReports reports) {
+			}
+
+			@Override
+			public void heard(PeerMessage.Limits limits) {
 			}
 
 		});
--- a/whinjunction-router/src/test/java/io/whinjunction/router/PeerTableTests.java
+++ b/whinjunction-router/src/test/java/io/whinjunction/router/PeerTableTests.java
@@ -83,6 +83,15 @@
 		assertThat(codec.decode(codec.encode(reports))).contains(reports);
 	}
 
+	@Test
+	void wordsOnLimitsSurviveTheirCodec() {
+		PeerMessage.Limits limits = new PeerMessage.Limits(
+				List.of(new NamedLimit("e-1@5", 3.7, 12), new NamedLimit("e-2", -1, 0)));
+		PeerCodec codec = new PeerCodec();
+
+		assertThat(codec.decode(codec.encode(limits))).contains(limits);
+	}
+
 	@Test
 	void oneOfTheRoutersThatKnowEachOtherIsNearestToAKey() {
 		List<String> addresses = List.of("10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1", "10.0.0.4:1");
