Small fleets read and look at the store as often as a fleet needs, not twice as often

Where no more routers are there than wait at the store, all of them took themselves for the few that ask sooner than the others, so that two routers read the configuration together and collided: 10 to 14 reads in six seconds. There is nobody to run ahead of; such routers ask when the followers of a larger fleet would.

--- a/whinjunction-router/src/main/java/io/whinjunction/router/DirectoryKeeper.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/DirectoryKeeper.java
@@ -102,6 +102,14 @@
 		return this.listed ? new ListState(this.version, this.changedAt, ageMs(), this.reader.waits()) : ListState.NONE;
 	}
 
+	/**
+	 * Whether this router is one of the few that ask the store sooner than the others.
+	 * @return {@code false} also where there are no others
+	 */
+	boolean runsAhead() {
+		return this.reader.runsAhead();
+	}
+
 	private long ageMs() {
 		return this.router.bootMs() - this.provedAtMs;
 	}
--- a/whinjunction-router/src/main/java/io/whinjunction/router/ListReader.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/ListReader.java
@@ -95,6 +95,14 @@
 		this.rota = new ListWatchRota(drainMs, random);
 	}
 
+	/**
+	 * Whether this router is one of the few that ask the store sooner than the others.
+	 * @return {@code false} also where there are no others
+	 */
+	boolean runsAhead() {
+		return waits() && ListWatchRota.leavesFollowers(this.router.peers().sharers(this.router.nowMs()));
+	}
+
 	/**
 	 * Whether this router waits at the store for changes.
 	 * @return {@code true} also between a change and the next wait
@@ -143,7 +151,7 @@
 		if (this.leads.getAsBoolean() && !waits()) {
 			waitForChanges();
 		}
-		long pauseMs = this.rota.pauseMs(this.reader.ageMs(), waits());
+		long pauseMs = this.rota.pauseMs(this.reader.ageMs(), runsAhead());
 		if (pauseMs > 0) {
 			in(pauseMs, this::step);
 		}
--- a/whinjunction-router/src/main/java/io/whinjunction/router/ListWatchRota.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/ListWatchRota.java
@@ -57,6 +57,16 @@
 		this.random = random;
 	}
 
+	/**
+	 * Whether a fleet has routers that don't wait at the store.
+	 * @param routers how many routers there are
+	 * @return {@code false} where running ahead of the others would only mean to call
+	 * twice as often
+	 */
+	static boolean leavesFollowers(int routers) {
+		return routers > WANTED;
+	}
+
 	/**
 	 * What a router does that has just heard from the store.
 	 * @param others how many others wait at the store, as far as is known
--- a/whinjunction-router/src/main/java/io/whinjunction/router/Router.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/Router.java
@@ -163,7 +163,7 @@
 		this.store = ports.store();
 		this.engines = ports.engines();
 		this.configurationKeeper = new ConfigurationKeeper(this.loop, ports.store(), this.proof, boot,
-				settings.bounds().configurationMs(), () -> directoryKeeper().state().watching(), this::listenWhenKnown,
+				settings.bounds().configurationMs(), () -> directoryKeeper().runsAhead(), this::listenWhenKnown,
 				ports.store().era(), this.random);
 		this.leadership = new Leadership(this.loop, ports.store(), settings.name(), this.ticker,
 				() -> peers().hasLeader(nowMs()));
