An upstream that goes on has not ended, and routers that are gone leave their place

What it sends between 0.3 and 1.5 s later shows that it goes on. For the same reason only streams count as begun without a result. - of the routers that send to a limited upstream, or write and try for the fleet, some may be gone for good and stand in the store all the same; they leave their place once they weren't heard for twenty seconds, while each sender's part stays what it was. - an engine's end cuts up to a hundred requests, each of which told other routers by itself; they are told together now.

The new tests fail without these (anUpstreamThatGoesOnHasNotEnded, aRouterThatIsGoneLeavesItsPlaceToAnother).

--- a/whinjunction-core/src/main/java/io/whinjunction/forward/CrashingRequests.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/forward/CrashingRequests.java
@@ -25,11 +25,11 @@
  * disaster may end all upstreams at once, a refused one is tried again after a while,
  * once, by one router of the fleet.
  * <p>
- * Invariants: the end of an upstream counts once for a request, whoever tells of it; no
- * crash counts of a request that ran well within {@link #HARMLESS_MS} before it or later;
- * at most {@link #MOST_SUSPECTS} requests are remembered, refused ones the longest. Times
- * come from the caller of each method and never go back. Not safe for threads: confined
- * to the event loop.
+ * Invariants: the end of an upstream counts once for a request, whoever tells of it, and
+ * no longer once the upstream is seen to go on; no crash counts of a request that ran
+ * well within {@link #HARMLESS_MS} before it or later; at most {@link #MOST_SUSPECTS}
+ * requests are remembered, refused ones the longest. Times come from the caller of each
+ * method and never go back. Not safe for threads: confined to the event loop.
  */
 public final class CrashingRequests {
 
@@ -48,6 +48,15 @@
 	 */
 	static final long SAME_CRASH_MS = 1000;
 
+	/**
+	 * An upstream that answers between these after it was taken for ended, in
+	 * milliseconds, has not: what it had sent before is read by then, and no upstream
+	 * starts again so soon.
+	 */
+	static final long SURVIVED_FROM_MS = 300;
+
+	static final long SURVIVED_UNTIL_MS = 1500;
+
 	/** A crash is remembered for this long, in milliseconds. */
 	static final long REMEMBERED_MS = 1_800_000;
 
@@ -66,6 +75,8 @@
 
 	private static final int MOST_HARMLESS = 4096;
 
+	private static final int MOST_UPSTREAMS = 1024;
+
 	/** Bounds a message. */
 	static final int MOST_TOLD = 48;
 
@@ -78,14 +89,24 @@
 	private final Map<Long, Suspect> suspects = new LinkedHashMap<>();
 
 	/** When requests ran well, by their fingerprints; the longest ago in front. */
-	private final Map<Long, Long> ranWellAtMs = new LinkedHashMap<>() {
+	private final Map<Long, Long> ranWellAtMs = bounded(MOST_HARMLESS);
 
-		@Override
-		protected boolean removeEldestEntry(Map.Entry<Long, Long> eldest) {
-			return size() > MOST_HARMLESS;
-		}
+	/** When upstreams were last taken for ended, by their incarnations. */
+	private final Map<String, Long> endedAtMs = bounded(MOST_UPSTREAMS);
+
+	/** When upstreams that had been taken for ended were seen to go on. */
+	private final Map<String, Long> survivedAtMs = bounded(MOST_UPSTREAMS);
 
-	};
+	private static <K> Map<K, Long> bounded(int most) {
+		return new LinkedHashMap<>() {
+
+			@Override
+			protected boolean removeEldestEntry(Map.Entry<K, Long> eldest) {
+				return size() > most;
+			}
+
+		};
+	}
 
 	/**
 	 * Whether a request has to be refused.
@@ -119,6 +140,29 @@
 		return count(fingerprint.value(), new Crash(upstream, nowMs, running), nowMs);
 	}
 
+	/**
+	 * An upstream sent something. The failure it guards against: one that resets some of
+	 * its connections would look as if it ended each time.
+	 * @param upstream the upstream's incarnation
+	 * @param nowMs the time
+	 */
+	public void answered(String upstream, long nowMs) {
+		Long atMs = this.endedAtMs.get(upstream);
+		if (atMs == null || nowMs - atMs < SURVIVED_FROM_MS) {
+			return;
+		}
+		this.endedAtMs.remove(upstream);
+		if (nowMs - atMs < SURVIVED_UNTIL_MS) {
+			this.survivedAtMs.put(upstream, nowMs);
+			this.suspects.values().forEach((suspect) -> suspect.crashes.removeIf(this::survived));
+		}
+	}
+
+	private boolean survived(Crash crash) {
+		Long atMs = this.survivedAtMs.get(crash.upstream());
+		return atMs != null && crash.atMs() < atMs && atMs - crash.atMs() < SURVIVED_UNTIL_MS;
+	}
+
 	/**
 	 * A request was answered, or ran for a while without harm.
 	 * @param fingerprint the request
@@ -202,6 +246,14 @@
 		return suspect != null && suspect.refused();
 	}
 
+	/**
+	 * How many requests are refused.
+	 * @return the number
+	 */
+	public int refused() {
+		return (int) this.suspects.values().stream().filter(Suspect::refused).count();
+	}
+
 	/**
 	 * Which requests are refused.
 	 * @return their fingerprints
@@ -216,9 +268,10 @@
 
 	private int count(long fingerprint, Crash crash, long nowMs) {
 		Long wellAtMs = this.ranWellAtMs.get(fingerprint);
-		if (wellAtMs != null && wellAtMs >= crash.atMs() - HARMLESS_MS) {
+		if (survived(crash) || (wellAtMs != null && wellAtMs >= crash.atMs() - HARMLESS_MS)) {
 			return 0;
 		}
+		this.endedAtMs.merge(crash.upstream(), crash.atMs(), Math::max);
 		Suspect suspect = this.suspects.getOrDefault(fingerprint, new Suspect());
 		if (suspect.add(crash)) {
 			changed(fingerprint, suspect, nowMs);
--- a/whinjunction-core/src/test/java/io/whinjunction/forward/CrashingRequestsTests.java
+++ b/whinjunction-core/src/test/java/io/whinjunction/forward/CrashingRequestsTests.java
@@ -57,6 +57,38 @@
 		assertThat(refused(CRASHING, 10)).isTrue();
 	}
 
+	// Upstreams that are in trouble reset some connections and go on: a poll that many
+	// callers
+	// send alike would soon have been cut at all of them.
+	@Test
+	void anUpstreamThatGoesOnHasNotEnded() {
+		crash(CRASHING, "e-1", 0);
+		crash(CRASHING, "e-2", 0);
+		crash(CRASHING, "e-3", 0);
+
+		this.requests.answered("e-2", START_MS + CrashingRequests.SURVIVED_FROM_MS);
+
+		assertThat(refused(CRASHING, CrashingRequests.SURVIVED_FROM_MS)).isFalse();
+		this.requests.heard(new CrashHistory(CRASHING, List.of(new CrashHistory.Crash("e-2", 350, false)), -1),
+				START_MS + 350);
+		assertThat(refused(CRASHING, 350)).isFalse();
+	}
+
+	// What an upstream sent before it ended is read a moment later; one that was started
+	// again
+	// answers after some seconds, whatever the list still calls it.
+	@Test
+	void whatAnEndedUpstreamSentBeforeOrAfterItsNextStartSaysNothing() {
+		crash(CRASHING, "e-1", 0);
+		crash(CRASHING, "e-2", 0);
+		crash(CRASHING, "e-3", 0);
+
+		this.requests.answered("e-1", START_MS + 5);
+		this.requests.answered("e-2", START_MS + CrashingRequests.SURVIVED_UNTIL_MS);
+
+		assertThat(refused(CRASHING, CrashingRequests.SURVIVED_UNTIL_MS)).isTrue();
+	}
+
 	// Copies of the request run on one upstream at once: its end is one crash.
 	@Test
 	void oneEndOfAnUpstreamCountsOnce() {
--- a/whinjunction-router/src/main/java/io/whinjunction/router/Attempt.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/Attempt.java
@@ -334,6 +334,7 @@
 	public void onHead(UpstreamHead received, HttpResponse response) {
 		this.head = received;
 		this.session.router().limits().heard(this.target.first().incarnation(), received);
+		this.session.router().crashGuard().answered(this.target.first().incarnation());
 		HttpHeaders headers = HopHeaders.withoutThem(response.headers());
 		boolean stream = this.session.route().kind() == RequestKind.STREAMING && received.success();
 		this.streaming = stream && received.genuine();
@@ -363,6 +364,7 @@
 				this.load.readingEnded();
 			}
 			this.pieces++;
+			this.session.router().crashGuard().answered(this.target.first().incarnation());
 			this.session.onEvents(this.answer, whole);
 		}
 	}
@@ -448,7 +450,7 @@
 			this.session.ranWell();
 		}
 		else {
-			this.session.upstreamEnded(this.target.first(), this.head != null && this.pieces == 0);
+			this.session.upstreamEnded(this.target.first(), this.streaming && this.pieces == 0);
 		}
 	}
 
--- a/whinjunction-router/src/main/java/io/whinjunction/router/CrashGuard.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/CrashGuard.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 
 import com.google.common.flogger.FluentLogger;
 import io.whinjunction.forward.CrashHistory;
@@ -20,9 +21,15 @@
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-	/** Crashes of one request that other routers hear of without delay. */
+	/** Crashes of one request that other routers hear of soon. */
 	private static final int URGENT_CRASHES = CrashingRequests.MOST_CRASHES - 1;
 
+	/**
+	 * Crashes within this long are told together, in milliseconds: an upstream's end cuts
+	 * many requests at once.
+	 */
+	private static final long GATHER_MS = 5;
+
 	private final RouterContext router;
 
 	private final Runnable tellNow;
@@ -35,6 +42,8 @@
 
 	private long toldAtMs = -PeerLink.PERIOD_MS;
 
+	private boolean telling;
+
 	/**
 	 * A guard that has seen nothing yet.
 	 * @param router the clock, the event loop and the other routers
@@ -59,7 +68,7 @@
 	 */
 	Optional<CrashingRequests.Refusal> refusal(String requestId, RequestFingerprint fingerprint) {
 		return this.requests.refusal(fingerprint, this.router.nowMs(), () -> {
-			boolean own = this.router.peers().nearestTo(fingerprint.value());
+			boolean own = this.router.peers().nearestTo(fingerprint.value(), this.router.nowMs());
 			if (own) {
 				logger.atWarning().log("event=crashing-tried-again id=%s print=%s", requestId, fingerprint);
 			}
@@ -84,9 +93,25 @@
 		if (this.requests.isRefused(fingerprint)) {
 			giveUpRefused();
 		}
-		this.toldAtMs -= PeerLink.PERIOD_MS;
-		this.tellNow.run();
 		this.records.saw(fingerprint);
+		if (!this.telling) {
+			this.telling = true;
+			this.router.loop().schedule(this::tell, GATHER_MS, TimeUnit.MILLISECONDS);
+		}
+	}
+
+	private void tell() {
+		this.telling = false;
+		this.toldAtMs = -PeerLink.PERIOD_MS;
+		this.tellNow.run();
+	}
+
+	/**
+	 * An upstream sent something.
+	 * @param upstream its incarnation
+	 */
+	void answered(String upstream) {
+		this.requests.answered(upstream, this.router.nowMs());
 	}
 
 	/**
@@ -116,9 +141,9 @@
 	 * @param histories what it knows
 	 */
 	void heard(List<CrashHistory> histories) {
-		int before = this.requests.refusedOnes().size();
+		int before = this.requests.refused();
 		histories.forEach((history) -> this.requests.heard(history, this.router.nowMs()));
-		int refused = this.requests.refusedOnes().size();
+		int refused = this.requests.refused();
 		if (refused != before) {
 			logger.atWarning().log("event=crashing-requests-heard refused=%d before=%d", refused, before);
 			giveUpRefused();
@@ -137,7 +162,7 @@
 	 * @return the number
 	 */
 	int refused() {
-		return this.requests.refusedOnes().size();
+		return this.requests.refused();
 	}
 
 }
--- a/whinjunction-router/src/main/java/io/whinjunction/router/CrashRecords.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/CrashRecords.java
@@ -106,7 +106,8 @@
 	}
 
 	private boolean writes(RequestFingerprint fingerprint) {
-		return this.seen.contains(fingerprint) || this.router.peers().nearestTo(fingerprint.value());
+		return this.seen.contains(fingerprint)
+				|| this.router.peers().nearestTo(fingerprint.value(), this.router.nowMs());
 	}
 
 	private void ended(RequestFingerprint fingerprint, boolean recorded, StoreReply<Boolean> reply) {
--- a/whinjunction-router/src/main/java/io/whinjunction/router/PeerTable.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/PeerTable.java
@@ -24,6 +24,12 @@
 	/** A router that was not heard for this long is taken for gone, in milliseconds. */
 	static final long SILENT_MS = 1500;
 
+	/**
+	 * A router that was not heard for this long leaves its place to another, in
+	 * milliseconds: of a large fleet each is heard every few seconds.
+	 */
+	private static final long THERE_MS = 20_000;
+
 	/** Routers are remembered this long for shares that must not grow by a cut. */
 	private static final long REMEMBERED_MS = 60_000;
 
@@ -307,27 +313,40 @@
 	}
 
 	/**
-	 * Whether this router is the one of all known ones that does what only one should do.
-	 * Routers that know different ones may choose two.
+	 * Whether this router is the one that does what only one should do. Routers that have
+	 * heard different ones may choose two.
 	 * @param key what is to be done
-	 * @return whether no other router is nearer to the key
+	 * @param nowMs the time
+	 * @return whether no other router that is there is nearer to the key
 	 */
-	boolean nearestTo(long key) {
+	boolean nearestTo(long key, long nowMs) {
+		return nearer(key, nowMs) == 0;
+	}
+
+	private long nearer(long key, long nowMs) {
 		int own = distance(this.self, key);
-		return this.byAddress.keySet().stream().noneMatch((address) -> distance(address, key) < own);
+		return this.byAddress.entrySet()
+			.stream()
+			.filter((peer) -> there(peer.getValue(), nowMs) && distance(peer.getKey(), key) < own)
+			.count();
+	}
+
+	private static boolean there(Peer peer, long nowMs) {
+		return peer.status != null && nowMs - peer.heardAtMs < THERE_MS;
 	}
 
 	/**
-	 * This router's part of what only a few routers do.
+	 * This router's part of what only a few routers do. Those that are gone leave their
+	 * place to others; the part of each stays the same, so that one that hears nobody
+	 * doesn't take all.
 	 * @param key what is to be done
 	 * @param most how many routers do it at most
+	 * @param nowMs the time
 	 * @return the part of each of them; 0 where this one is none of them
 	 */
-	double partOf(long key, int most) {
-		int own = distance(this.self, key);
-		long nearer = this.byAddress.keySet().stream().filter((address) -> distance(address, key) < own).count();
-		int doing = Math.min(most, 1 + this.byAddress.size());
-		return (nearer < doing) ? 1.0 / doing : 0;
+	double partOf(long key, int most, long nowMs) {
+		int doing = Math.min(most, sharers(nowMs));
+		return (nearer(key, nowMs) < doing) ? 1.0 / doing : 0;
 	}
 
 	private static int distance(String address, long key) {
--- a/whinjunction-router/src/test/java/io/whinjunction/router/PeerTableTests.java
+++ b/whinjunction-router/src/test/java/io/whinjunction/router/PeerTableTests.java
@@ -93,18 +93,35 @@
 	}
 
 	@Test
-	void oneOfTheRoutersThatKnowEachOtherIsNearestToAKey() {
-		List<String> addresses = List.of("10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1", "10.0.0.4:1");
+	void oneOfTheRoutersThatHearEachOtherIsNearestToAKey() {
+		List<PeerTable> fleet = fleetThatHearsEachOther(4);
 		for (long key = 0; key < 100; key++) {
 			long finalKey = key;
-			assertThat(addresses.stream().filter((address) -> {
-				PeerTable own = new PeerTable(address, new Random(1));
-				own.addresses(addresses);
-				return own.nearestTo(finalKey);
-			})).hasSize(1);
+			assertThat(fleet.stream().filter((own) -> own.nearestTo(finalKey, 0))).hasSize(1);
 		}
 	}
 
+	@Test
+	void aRouterThatIsGoneLeavesItsPlaceToAnother() {
+		List<PeerTable> fleet = fleetThatHearsEachOther(4);
+		long laterMs = 40_000;
+
+		assertThat(fleet.stream().filter((own) -> own.partOf(5, 2, 0) > 0)).hasSize(2);
+		assertThat(fleet).allMatch((own) -> own.partOf(5, 2, laterMs) == 0.5);
+	}
+
+	private static List<PeerTable> fleetThatHearsEachOther(int routers) {
+		List<PeerTable> fleet = new ArrayList<>();
+		for (int index = 0; index < routers; index++) {
+			PeerTable own = new PeerTable("10.0.0." + index + ":1", new Random(1));
+			for (int other = 0; other < routers; other++) {
+				own.heard(status("10.0.0." + other + ":1", 1, false, 0), 0);
+			}
+			fleet.add(own);
+		}
+		return fleet;
+	}
+
 	// A fleet starts: each router has heard a few others, which all wait at the store,
 	// and
 	// takes these few for all that do.
--- a/whinjunction-router/src/test/java/io/whinjunction/router/UpstreamLimitsTests.java
+++ b/whinjunction-router/src/test/java/io/whinjunction/router/UpstreamLimitsTests.java
@@ -3,6 +3,7 @@
 import java.lang.reflect.Proxy;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
 import java.util.stream.IntStream;
 
@@ -25,6 +26,10 @@
 
 	private static final long IDLE_MS = 60_000;
 
+	private final List<String> addresses = new ArrayList<>();
+
+	private final List<PeerTable> tables = new ArrayList<>();
+
 	private long nowMs = 1_000_000;
 
 	// All routers have as many requests as they like, after a time without any: each of
@@ -36,6 +41,7 @@
 		fleet.forEach((limits) -> limits.heard(UPSTREAM, head(200, perSecond)));
 		fleet.forEach((limits) -> limits.allows(UPSTREAM));
 		this.nowMs += IDLE_MS;
+		hearEachOther();
 		List<Long> sentAtMs = new ArrayList<>();
 		long fromMs = this.nowMs;
 		for (; this.nowMs < fromMs + 5 * WINDOW_MS; this.nowMs += STEP_MS) {
@@ -149,13 +155,21 @@
 	}
 
 	private List<UpstreamLimits> fleet(int routers) {
-		List<String> addresses = IntStream.range(0, routers).mapToObj((index) -> "10.1.0." + index + ":7340").toList();
 		Random random = new Random(routers);
-		return addresses.stream().map((address) -> {
-			PeerTable peers = new PeerTable(address, random);
-			peers.addresses(addresses);
-			return new UpstreamLimits(context(peers), random);
-		}).toList();
+		IntStream.range(0, routers).mapToObj((index) -> "10.1.0." + index + ":7340").forEach((address) -> {
+			this.addresses.add(address);
+			this.tables.add(new PeerTable(address, random));
+		});
+		hearEachOther();
+		return this.tables.stream().map((peers) -> new UpstreamLimits(context(peers), random)).toList();
+	}
+
+	private void hearEachOther() {
+		for (String address : this.addresses) {
+			PeerStatus status = new PeerStatus("n", address, "a", 1, false, 4, 0, List.of(), Map.of(), List.of(), false,
+					Map.of(), false, -1, ListState.NONE, 0, -1);
+			this.tables.forEach((table) -> table.heard(status, this.nowMs));
+		}
 	}
 
 	private RouterContext context(PeerTable peers) {
