A crash at which a request had not begun counts once the upstream stays silent

Such a crash counts after 0.6 s now, and by then an upstream that is in use has been seen to go on. One that had just begun to run the request counts at once as before.

--- a/whinjunction-core/src/main/java/io/whinjunction/forward/CrashingRequests.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/forward/CrashingRequests.java
@@ -57,6 +57,12 @@
 
 	static final long SURVIVED_UNTIL_MS = 1500;
 
+	/**
+	 * A crash at which the request had not begun to run counts after this long, in
+	 * milliseconds: an upstream that is in use and goes on is seen to by then.
+	 */
+	static final long SETTLED_MS = 600;
+
 	/** A crash is remembered for this long, in milliseconds. */
 	static final long REMEMBERED_MS = 1_800_000;
 
@@ -117,15 +123,15 @@
 	 */
 	public Optional<Refusal> refusal(RequestFingerprint fingerprint, long nowMs, BooleanSupplier triesAgain) {
 		Suspect suspect = this.suspects.get(fingerprint.value());
-		if (suspect == null || !suspect.refused()) {
+		if (suspect == null || !suspect.refused(nowMs)) {
 			return Optional.empty();
 		}
-		long leftMs = suspect.pausedUntilMs() - nowMs;
+		long leftMs = suspect.pausedUntilMs(nowMs) - nowMs;
 		if (leftMs <= 0 && triesAgain.getAsBoolean()) {
 			suspect.triedAtMs = nowMs;
 			return Optional.empty();
 		}
-		return Optional.of(new Refusal(suspect.counted(), Math.max(leftMs, SPREAD_MS)));
+		return Optional.of(new Refusal(suspect.counted(nowMs), Math.max(leftMs, SPREAD_MS)));
 	}
 
 	/**
@@ -185,8 +191,8 @@
 		}
 		return this.suspects.entrySet()
 			.stream()
-			.filter((entry) -> entry.getValue().refused() || nowMs - entry.getValue().changedAtMs < SPREAD_MS)
-			.sorted(Comparator.comparing((Map.Entry<Long, Suspect> entry) -> !entry.getValue().refused())
+			.filter((entry) -> entry.getValue().refused(nowMs) || nowMs - entry.getValue().changedAtMs < SPREAD_MS)
+			.sorted(Comparator.comparing((Map.Entry<Long, Suspect> entry) -> !entry.getValue().refused(nowMs))
 				.thenComparing((entry) -> -entry.getValue().changedAtMs))
 			.limit(MOST_TOLD)
 			.map((entry) -> history(entry.getKey(), entry.getValue(), nowMs))
@@ -230,7 +236,7 @@
 	 */
 	public void restored(RequestFingerprint fingerprint, long nowMs) {
 		Suspect suspect = this.suspects.computeIfAbsent(fingerprint.value(), (value) -> new Suspect());
-		if (!suspect.refused()) {
+		if (!suspect.refused(nowMs)) {
 			suspect.restoredAtMs = nowMs;
 			changed(fingerprint.value(), suspect, nowMs);
 		}
@@ -239,29 +245,32 @@
 	/**
 	 * Whether a request is refused, unless it is tried again.
 	 * @param fingerprint the request
+	 * @param nowMs the time
 	 * @return whether it is
 	 */
-	public boolean isRefused(RequestFingerprint fingerprint) {
+	public boolean isRefused(RequestFingerprint fingerprint, long nowMs) {
 		Suspect suspect = this.suspects.get(fingerprint.value());
-		return suspect != null && suspect.refused();
+		return suspect != null && suspect.refused(nowMs);
 	}
 
 	/**
 	 * How many requests are refused.
+	 * @param nowMs the time
 	 * @return the number
 	 */
-	public int refused() {
-		return (int) this.suspects.values().stream().filter(Suspect::refused).count();
+	public int refused(long nowMs) {
+		return (int) this.suspects.values().stream().filter((suspect) -> suspect.refused(nowMs)).count();
 	}
 
 	/**
 	 * Which requests are refused.
+	 * @param nowMs the time
 	 * @return their fingerprints
 	 */
-	public List<RequestFingerprint> refusedOnes() {
+	public List<RequestFingerprint> refusedOnes(long nowMs) {
 		return this.suspects.entrySet()
 			.stream()
-			.filter((entry) -> entry.getValue().refused())
+			.filter((entry) -> entry.getValue().refused(nowMs))
 			.map((entry) -> new RequestFingerprint(entry.getKey()))
 			.toList();
 	}
@@ -297,14 +306,14 @@
 		this.suspects.remove(fingerprint);
 		this.suspects.put(fingerprint, suspect);
 		if (this.suspects.size() > MOST_SUSPECTS) {
-			dropOne();
+			dropOne(nowMs);
 		}
 	}
 
-	private void dropOne() {
+	private void dropOne(long nowMs) {
 		Iterator<Suspect> oldestFirst = this.suspects.values().iterator();
 		while (oldestFirst.hasNext()) {
-			if (!oldestFirst.next().refused()) {
+			if (!oldestFirst.next().refused(nowMs)) {
 				oldestFirst.remove();
 				return;
 			}
@@ -315,7 +324,7 @@
 	private void forget(long nowMs) {
 		this.suspects.values().removeIf((suspect) -> {
 			suspect.clear(nowMs - REMEMBERED_MS);
-			return !suspect.refused() && suspect.crashes.isEmpty() && nowMs - suspect.changedAtMs >= SPREAD_MS;
+			return !suspect.refused(nowMs) && suspect.crashes.isEmpty() && nowMs - suspect.changedAtMs >= SPREAD_MS;
 		});
 	}
 
@@ -334,6 +343,10 @@
 			return this.upstream.equals(other.upstream) && Math.abs(this.atMs - other.atMs) < SAME_CRASH_MS;
 		}
 
+		boolean counts(long nowMs) {
+			return this.running || nowMs - this.atMs >= SETTLED_MS;
+		}
+
 	}
 
 	/** A request that was seen where an upstream ended; confined to the table. */
@@ -362,12 +375,13 @@
 		}
 
 		// What was restored counts as found just now, with as many crashes as it takes.
-		int counted() {
-			return (this.restoredAtMs != NEVER_MS) ? Math.max(MOST_CRASHES, this.crashes.size()) : this.crashes.size();
+		int counted(long nowMs) {
+			int counted = (int) this.crashes.stream().filter((crash) -> crash.counts(nowMs)).count();
+			return (this.restoredAtMs != NEVER_MS) ? Math.max(MOST_CRASHES, counted) : counted;
 		}
 
-		boolean refused() {
-			return counted() >= MOST_CRASHES
+		boolean refused(long nowMs) {
+			return counted(nowMs) >= MOST_CRASHES
 					|| this.crashes.stream().filter(Crash::running).count() >= MOST_CRASHES_RUNNING;
 		}
 
@@ -377,9 +391,9 @@
 			return this.crashes.removeIf((crash) -> crash.atMs() <= untilMs) || restored;
 		}
 
-		long pausedUntilMs() {
+		long pausedUntilMs(long nowMs) {
 			long pauseMs = FIRST_PAUSE_MS;
-			for (int more = MOST_CRASHES; more < counted(); more++) {
+			for (int more = MOST_CRASHES; more < counted(nowMs); more++) {
 				pauseMs *= PAUSE_GROWTH;
 			}
 			long lastMs = this.crashes.stream().mapToLong(Crash::atMs).max().orElse(this.restoredAtMs);
--- a/whinjunction-router/src/main/java/io/whinjunction/router/CrashGuard.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/CrashGuard.java
@@ -60,6 +60,14 @@
 		return this.records;
 	}
 
+	/** Sees to what follows from time alone: crashes count once they are settled. */
+	void sweep() {
+		if (refused() > 0) {
+			giveUpRefused();
+		}
+		this.records.reconcile();
+	}
+
 	/**
 	 * Whether a request has to be refused.
 	 * @param requestId names it in the log
@@ -89,8 +97,8 @@
 		}
 		logger.atWarning()
 			.log("event=crashing-request print=%s crashes=%d upstream=%s running=%s refused=%s", fingerprint, crashes,
-					upstream.incarnation(), running, this.requests.isRefused(fingerprint));
-		if (this.requests.isRefused(fingerprint)) {
+					upstream.incarnation(), running, this.requests.isRefused(fingerprint, this.router.nowMs()));
+		if (this.requests.isRefused(fingerprint, this.router.nowMs())) {
 			giveUpRefused();
 		}
 		this.records.saw(fingerprint);
@@ -141,9 +149,9 @@
 	 * @param histories what it knows
 	 */
 	void heard(List<CrashHistory> histories) {
-		int before = this.requests.refused();
+		int before = this.requests.refused(this.router.nowMs());
 		histories.forEach((history) -> this.requests.heard(history, this.router.nowMs()));
-		int refused = this.requests.refused();
+		int refused = this.requests.refused(this.router.nowMs());
 		if (refused != before) {
 			logger.atWarning().log("event=crashing-requests-heard refused=%d before=%d", refused, before);
 			giveUpRefused();
@@ -153,7 +161,7 @@
 	// Copies that wait at other upstreams would end these too.
 	private void giveUpRefused() {
 		for (CallerConnection caller : Set.copyOf(this.router.callers())) {
-			caller.giveUpWhere(this.requests::isRefused);
+			caller.giveUpWhere((fingerprint) -> this.requests.isRefused(fingerprint, this.router.nowMs()));
 		}
 	}
 
@@ -162,7 +170,7 @@
 	 * @return the number
 	 */
 	int refused() {
-		return this.requests.refused();
+		return this.requests.refused(this.router.nowMs());
 	}
 
 }
--- a/whinjunction-router/src/main/java/io/whinjunction/router/CrashRecords.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/CrashRecords.java
@@ -78,7 +78,7 @@
 	 * @param fingerprint the request
 	 */
 	void saw(RequestFingerprint fingerprint) {
-		if (this.requests.isRefused(fingerprint) != this.stored.contains(fingerprint)) {
+		if (this.requests.isRefused(fingerprint, this.router.nowMs()) != this.stored.contains(fingerprint)) {
 			this.seen.add(fingerprint);
 			reconcile();
 		}
@@ -89,7 +89,7 @@
 		if (this.calling) {
 			return;
 		}
-		for (RequestFingerprint fingerprint : this.requests.refusedOnes()) {
+		for (RequestFingerprint fingerprint : this.requests.refusedOnes(this.router.nowMs())) {
 			if (!this.stored.contains(fingerprint) && writes(fingerprint)) {
 				this.calling = true;
 				this.store.recordCrashing(fingerprint.toString(), (reply) -> ended(fingerprint, true, reply));
@@ -97,7 +97,7 @@
 			}
 		}
 		for (RequestFingerprint fingerprint : this.stored) {
-			if (!this.requests.isRefused(fingerprint) && writes(fingerprint)) {
+			if (!this.requests.isRefused(fingerprint, this.router.nowMs()) && writes(fingerprint)) {
 				this.calling = true;
 				this.store.removeCrashing(fingerprint.toString(), (reply) -> ended(fingerprint, false, reply));
 				return;
--- a/whinjunction-router/src/main/java/io/whinjunction/router/Router.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/Router.java
@@ -349,7 +349,7 @@
 	private void sweep() {
 		this.runningTimes.note(bootMs());
 		this.pool.sweep();
-		this.crashGuard.records().reconcile();
+		this.crashGuard.sweep();
 		this.limits.sweep();
 		long idleMs = (configuration() != null) ? configuration().limits().idleTimeoutMs()
 				: CallerLimits.DEFAULT.idleTimeoutMs();
