An upstream that resets connections all the time is seen to go on

Each reset put off the moment from which the upstream's answers count, so that one with several resets a second was never seen to survive them. Answers clear the crashes that are old enough, whatever came since. And a request that is tried again while it is refused isn't given up by the look for its copies.

The test of the first failed before; the second is seen by reading only.

--- a/whinjunction-core/src/main/java/io/whinjunction/forward/CrashingRequests.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/forward/CrashingRequests.java
@@ -57,6 +57,9 @@
 
 	static final long SURVIVED_UNTIL_MS = 1500;
 
+	/** That an upstream goes on is noted once in this long, in milliseconds. */
+	private static final long SURVIVED_NOTED_MS = 100;
+
 	/**
 	 * A crash at which the request had not begun to run counts after this long, in
 	 * milliseconds: an upstream that is in use and goes on is seen to by then.
@@ -153,20 +156,22 @@
 	 * @param nowMs the time
 	 */
 	public void answered(String upstream, long nowMs) {
-		Long atMs = this.endedAtMs.get(upstream);
-		if (atMs == null || nowMs - atMs < SURVIVED_FROM_MS) {
+		Long endedAt = this.endedAtMs.get(upstream);
+		if (endedAt == null) {
 			return;
 		}
-		this.endedAtMs.remove(upstream);
-		if (nowMs - atMs < SURVIVED_UNTIL_MS) {
+		if (nowMs - endedAt >= SURVIVED_UNTIL_MS) {
+			this.endedAtMs.remove(upstream);
+		}
+		else if (nowMs - this.survivedAtMs.getOrDefault(upstream, NEVER_MS) >= SURVIVED_NOTED_MS) {
 			this.survivedAtMs.put(upstream, nowMs);
 			this.suspects.values().forEach((suspect) -> suspect.crashes.removeIf(this::survived));
 		}
 	}
 
 	private boolean survived(Crash crash) {
-		Long atMs = this.survivedAtMs.get(crash.upstream());
-		return atMs != null && crash.atMs() < atMs && atMs - crash.atMs() < SURVIVED_UNTIL_MS;
+		long sinceMs = this.survivedAtMs.getOrDefault(crash.upstream(), NEVER_MS) - crash.atMs();
+		return sinceMs >= SURVIVED_FROM_MS && sinceMs < SURVIVED_UNTIL_MS;
 	}
 
 	/**
--- a/whinjunction-core/src/test/java/io/whinjunction/forward/CrashingRequestsTests.java
+++ b/whinjunction-core/src/test/java/io/whinjunction/forward/CrashingRequestsTests.java
@@ -76,9 +76,24 @@
 		assertThat(refused(CRASHING, SETTLED_MS)).isFalse();
 	}
 
-	// A draft is cut at three upstreams in a moment: before any of them can be seen to go
-	// on,
-	// and so before it is refused.
+	// It resets a connection each 50 ms and answers on others: each reset would put off
+	// the
+	// moment from which its answers count.
+	@Test
+	void anUpstreamThatResetsConnectionsAllTheTimeHasNotEnded() {
+		crash(CRASHING, "e-1", 0);
+		crash(CRASHING, "e-2", 0);
+		crash(CRASHING, "e-3", 0);
+		for (int atMs = 0; atMs < SETTLED_MS; atMs += 50) {
+			crash(new RequestFingerprint(100 + atMs), "e-1", atMs);
+			this.requests.answered("e-1", START_MS + atMs);
+		}
+
+		assertThat(refused(CRASHING, SETTLED_MS)).isFalse();
+	}
+
+	// A draft is cut at three upstreams in a moment, before any of them can be seen to go
+	// on.
 	@Test
 	void aCrashThatHadNotBegunTheRequestCountsOnceItIsSettled() {
 		crashThreeTimes(this.requests, 0);
--- a/whinjunction-router/src/main/java/io/whinjunction/router/CrashGuard.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/CrashGuard.java
@@ -84,6 +84,15 @@
 		});
 	}
 
+	/**
+	 * Whether a request is refused, unless it is tried again.
+	 * @param fingerprint the request
+	 * @return whether it is
+	 */
+	boolean isRefused(RequestFingerprint fingerprint) {
+		return this.requests.isRefused(fingerprint, this.router.nowMs());
+	}
+
 	/**
 	 * An upstream ended while a request began there.
 	 * @param fingerprint the request
@@ -97,8 +106,8 @@
 		}
 		logger.atWarning()
 			.log("event=crashing-request print=%s crashes=%d upstream=%s running=%s refused=%s", fingerprint, crashes,
-					upstream.incarnation(), running, this.requests.isRefused(fingerprint, this.router.nowMs()));
-		if (this.requests.isRefused(fingerprint, this.router.nowMs())) {
+					upstream.incarnation(), running, isRefused(fingerprint));
+		if (isRefused(fingerprint)) {
 			giveUpRefused();
 		}
 		this.records.saw(fingerprint);
@@ -161,7 +170,7 @@
 	// Copies that wait at other upstreams would end these too.
 	private void giveUpRefused() {
 		for (CallerConnection caller : Set.copyOf(this.router.callers())) {
-			caller.giveUpWhere((fingerprint) -> this.requests.isRefused(fingerprint, this.router.nowMs()));
+			caller.giveUpWhere(this::isRefused);
 		}
 	}
 
--- a/whinjunction-router/src/main/java/io/whinjunction/router/ForwardSession.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/ForwardSession.java
@@ -96,6 +96,11 @@
 
 	private boolean mayHaveRun;
 
+	/**
+	 * Whether it was sent although it crashes upstreams, to see whether it still does.
+	 */
+	private boolean triesAgain;
+
 	private final StreamProgress progress = new StreamProgress();
 
 	private int sent;
@@ -246,6 +251,7 @@
 					crashing.get().retryAfterMs());
 			return;
 		}
+		this.triesAgain = this.router.crashGuard().isRefused(this.fingerprint);
 		Optional<Target> target = chooseTarget();
 		if (target.isEmpty()) {
 			giveUp(this.mayHaveRun ? new NextStep.Fail() : new NextStep.Refuse(), "no-upstream");
@@ -431,7 +437,7 @@
 	/** Upstreams end under this request elsewhere. */
 	void onCrashesUpstreams() {
 		// One that has brought results is another one's victim.
-		if (!this.answerBegun && this.attempt != null && this.attempt.underWay()) {
+		if (!this.triesAgain && !this.answerBegun && this.attempt != null && this.attempt.underWay()) {
 			giveUp(new NextStep.Fail(), CRASHES_UPSTREAMS);
 		}
 	}
