A report of crashes costs what it says, not what is remembered

Each message with reports made a router look through all that it remembers, twice, to tell whether more is refused than before. It looks at what the message names now.

--- a/whinjunction-router/src/main/java/io/whinjunction/router/CrashGuard.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/CrashGuard.java
@@ -158,11 +158,14 @@
 	 * @param histories what it knows
 	 */
 	void heard(List<CrashHistory> histories) {
-		int before = this.requests.refused(this.router.nowMs());
-		histories.forEach((history) -> this.requests.heard(history, this.router.nowMs()));
-		int refused = this.requests.refused(this.router.nowMs());
-		if (refused != before) {
-			logger.atWarning().log("event=crashing-requests-heard refused=%d before=%d", refused, before);
+		boolean found = false;
+		for (CrashHistory history : histories) {
+			boolean before = isRefused(history.fingerprint());
+			this.requests.heard(history, this.router.nowMs());
+			found |= !before && isRefused(history.fingerprint());
+		}
+		if (found) {
+			logger.atWarning().log("event=crashing-requests-heard refused=%d", refused());
 			giveUpRefused();
 		}
 	}
