--- a/whinjunction-router/src/main/java/io/whinjunction/router/Attempt.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/Attempt.java
@@ -46,6 +46,9 @@
 
 	private Target target;
 
+	/** The incarnation of the upstream that has the request; no detour changes it. */
+	private final String first;
+
 	private final EngineLoad load;
 
 	private UpstreamConnection connection;
@@ -71,6 +74,7 @@
 	Attempt(ForwardSession session, Target target) {
 		this.session = session;
 		this.target = target;
+		this.first = target.first().incarnation();
 		this.load = new EngineLoad(session.router().directory(), target, session.request().promptTokens(),
 				session.expectedTokens());
 	}
@@ -93,7 +97,7 @@
 
 	void start() {
 		this.load.began();
-		this.session.router().limits().sent(this.target.first().incarnation());
+		this.session.router().limits().sent(this.first);
 		// A kept connection may end at the very moment at which a request is written to
 		// it, and then nobody knows whether it ran. What must not be repeated gets a new
 		// one, which costs a millisecond.
@@ -112,7 +116,7 @@
 			notSent("no-connection");
 			return;
 		}
-		UpstreamState state = this.session.router().directory().find(this.target.first().incarnation());
+		UpstreamState state = this.session.router().directory().find(this.first);
 		if (state == null || state.upstream().leaving()) {
 			connected.channel().close();
 			notSent("upstream-left");
@@ -145,7 +149,7 @@
 			this.session.router().watch().add(this);
 			this.load.readingBegan();
 		}
-		this.session.countSent(this.target.first().incarnation());
+		this.session.countSent(this.first);
 		CallerRequest request = this.session.request();
 		this.connection.begin(request.id(), this);
 		HttpHeaders headers = new DefaultHttpHeaders();
@@ -333,8 +337,8 @@
 	@Override
 	public void onHead(UpstreamHead received, HttpResponse response) {
 		this.head = received;
-		this.session.router().limits().heard(this.target.first().incarnation(), received);
-		this.session.router().crashGuard().answered(this.target.first().incarnation());
+		this.session.router().limits().heard(this.first, received);
+		this.session.router().crashGuard().answered(this.first);
 		HttpHeaders headers = HopHeaders.withoutThem(response.headers());
 		boolean stream = this.session.route().kind() == RequestKind.STREAMING && received.success();
 		this.streaming = stream && received.genuine();
@@ -364,7 +368,7 @@
 				this.load.readingEnded();
 			}
 			this.pieces++;
-			this.session.router().crashGuard().answered(this.target.first().incarnation());
+			this.session.router().crashGuard().answered(this.first);
 			this.session.onEvents(this.answer, whole);
 		}
 	}
--- a/whinjunction-router/src/main/java/io/whinjunction/router/TargetChooser.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/TargetChooser.java
@@ -78,14 +78,14 @@
 	private Optional<Target> single(Wish wish, long nowMs) {
 		Set<String> tried = wish.tried();
 		Comparator<UpstreamState> order = Comparator
-			.comparing((UpstreamState state) -> tried.contains(state.upstream().incarnation()))
+			.comparing((UpstreamState state) -> tried.contains(state.incarnation()))
 			.thenComparing((state) -> state.avoided(nowMs))
 			.thenComparingInt(UpstreamState::requests)
 			.thenComparing((state) -> !state.upstream().failureDomain().equals(this.failureDomain))
-			.thenComparing((state) -> state.upstream().incarnation());
+			.thenComparing((state) -> state.incarnation());
 		return this.directory.staying(wish.service().name())
 			.stream()
-			.filter((state) -> !tried.contains(state.upstream().incarnation()) && takesMore(state))
+			.filter((state) -> !tried.contains(state.incarnation()) && takesMore(state))
 			.min(order)
 			.map((state) -> new Target(state.upstream(), List.of()));
 	}
@@ -124,31 +124,31 @@
 		List<PathFinder.Candidate> candidates = new ArrayList<>();
 		for (UpstreamState state : this.directory.staying(wish.service().name())) {
 			EngineKind kind = profile.kinds().get(state.upstream().kind());
-			if (state.upstream().held() == null || kind == null
-					|| wish.tried().contains(state.upstream().incarnation())) {
+			if (state.upstream().held() == null || kind == null || wish.tried().contains(state.incarnation())) {
 				continue;
 			}
 			double usedPart = usedPart(profile, kind, state, nowMs);
 			if (!wish.mustFit() || !full(profile, kind, state.upstream().held(), usedPart)) {
 				PathCosts.Load load = new PathCosts.Load(usedPart, (double) routers * state.unreadTokens(),
-						pace(state.upstream(), nowMs), state.avoided(nowMs));
-				candidates.add(PathCosts.rate(profile, engine(state.upstream(), kind), load, wish.tokens()));
+						pace(state, nowMs), state.avoided(nowMs));
+				candidates.add(PathCosts.rate(profile, engine(state, kind), load, wish.tokens()));
 			}
 		}
 		return candidates;
 	}
 
 	private boolean takesMore(UpstreamState state) {
-		return this.limits.allows(state.upstream().incarnation());
+		return this.limits.allows(state.incarnation());
 	}
 
-	private double pace(Upstream upstream, long nowMs) {
-		return Math.max(this.paces.getOrDefault(upstream.incarnation(), 1.0),
-				this.peers.paceOf(upstream.incarnation(), nowMs));
+	private double pace(UpstreamState state, long nowMs) {
+		return Math.max(this.paces.getOrDefault(state.incarnation(), 1.0),
+				this.peers.paceOf(state.incarnation(), nowMs));
 	}
 
-	private static Engine engine(Upstream upstream, EngineKind kind) {
-		return new Engine(upstream.incarnation(), upstream.address(), upstream.failureDomain(), kind, upstream.held(),
+	private static Engine engine(UpstreamState state, EngineKind kind) {
+		Upstream upstream = state.upstream();
+		return new Engine(state.incarnation(), upstream.address(), upstream.failureDomain(), kind, upstream.held(),
 				false);
 	}
 
@@ -167,7 +167,7 @@
 	double usedPart(ModelProfile profile, EngineKind kind, UpstreamState state, long nowMs) {
 		LayerRange held = state.upstream().held();
 		double room = profile.roomTokenLayers(kind, held.end() - held.first());
-		double used = state.tokenLayers() + this.peers.tokenLayersAt(state.upstream().incarnation(), nowMs);
+		double used = state.tokenLayers() + this.peers.tokenLayersAt(state.incarnation(), nowMs);
 		return used / Math.max(1, room);
 	}
 
--- a/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamDirectory.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamDirectory.java
@@ -139,14 +139,13 @@
 		}
 		if (known.upstream().bornAfter(listed.bornMs())) {
 			logger.atWarning()
-				.log("event=upstream-outdated upstream=%s known=%s", listed.incarnation(),
-						known.upstream().incarnation());
+				.log("event=upstream-outdated upstream=%s known=%s", listed.incarnation(), known.incarnation());
 			return;
 		}
 		// An entry that doesn't say when it started tells of the start that is known.
 		Upstream upstream = (listed.bornMs() == Upstream.BORN_UNKNOWN) ? listed.bornAt(known.upstream().bornMs())
 				: listed;
-		if (!upstream.incarnation().equals(known.upstream().incarnation())) {
+		if (!upstream.incarnation().equals(known.incarnation())) {
 			end(known, upstream);
 			add(upstream);
 			return;
@@ -184,8 +183,8 @@
 	private void remove(String id) {
 		UpstreamState state = this.byId.remove(id);
 		if (state != null) {
-			this.gone.add(state.upstream().incarnation());
-			this.byIncarnation.remove(state.upstream().incarnation());
+			this.gone.add(state.incarnation());
+			this.byIncarnation.remove(state.incarnation());
 			this.byAddress.remove(addressKey(state.upstream()), state);
 			this.left.accept(state.upstream());
 		}
@@ -288,7 +287,7 @@
 		}
 		Map<String, Long> tokenLayers = HashMap.newHashMap(busy.size());
 		for (UpstreamState state : busy) {
-			tokenLayers.put(state.upstream().incarnation(), state.tokenLayers());
+			tokenLayers.put(state.incarnation(), state.tokenLayers());
 		}
 		return tokenLayers;
 	}
--- a/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamState.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamState.java
@@ -6,6 +6,9 @@
  */
 final class UpstreamState {
 
+	/** Kept, since each choice of a path looks engines up by it several times. */
+	private final String incarnation;
+
 	private Upstream upstream;
 
 	private int requests;
@@ -18,12 +21,25 @@
 
 	UpstreamState(Upstream upstream) {
 		this.upstream = upstream;
+		this.incarnation = upstream.incarnation();
 	}
 
 	Upstream upstream() {
 		return this.upstream;
 	}
 
+	/**
+	 * Names the start of the upstream that this is known of.
+	 * @return {@link Upstream#incarnation()}, the same for the life of this object
+	 */
+	String incarnation() {
+		return this.incarnation;
+	}
+
+	/**
+	 * Takes a newer entry of the same start.
+	 * @param newer the entry
+	 */
 	void update(Upstream newer) {
 		this.upstream = newer;
 	}
