Events go to callers as one buffer each

Cause: of the processor time of a router under streams, 11 in 100 samples of the event loop lay in the library's encoder for chunks: three buffers and as many promises for an event of some hundred bytes, 120 events a second and router.

Change: pieces of up to 4 KB are framed by copying them into one buffer; larger ones and the head and end of an answer go through the encoder as before. An empty piece is never framed, since an empty chunk ends an answer.

--- a/whinjunction-router/src/main/java/io/whinjunction/router/CallerConnection.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/CallerConnection.java
@@ -23,6 +23,7 @@
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
@@ -52,6 +53,8 @@
 
 	private Channel channel;
 
+	private ChannelHandlerContext encoder;
+
 	private ForwardSession session;
 
 	private boolean bodyOpen;
@@ -73,6 +76,7 @@
 	@Override
 	public void channelActive(ChannelHandlerContext context) {
 		this.channel = context.channel();
+		this.encoder = context.pipeline().context(HttpResponseEncoder.class);
 		this.quietSinceMs = this.router.nowMs();
 		this.router.callers().add(this);
 	}
@@ -226,7 +230,13 @@
 	 * @param content the piece, whose ownership passes on
 	 */
 	void writeBody(ByteBuf content) {
-		this.channel.write(new DefaultHttpContent(content));
+		if (ChunkFraming.takes(content)) {
+			// Past the encoder, which goes on where it was: between two chunks.
+			this.encoder.write(ChunkFraming.frame(this.channel.alloc(), content));
+		}
+		else {
+			this.channel.write(new DefaultHttpContent(content));
+		}
 	}
 
 	/** Sends what was written. */
