--- a/whinjunction-core/src/main/java/io/whinjunction/chain/ChainForecast.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/chain/ChainForecast.java
@@ -9,9 +9,7 @@
  * Each engine works in passes: what came during one pass is served by the next. A pass
  * takes a fixed time for the engine's layers, and more the more tokens and prompts come.
  * A token waits for half a pass where the engine is always busy, and not at all where it
- * is idle. Checked against a calm day in a failure domain of 15 engines, of which 12 hold
- * layers: 45.8 ms between events of four tokens were measured over 599 streams, and 45.8
- * ms are forecast for their rate.
+ * is idle.
  * <p>
  * Immutable.
  *
--- a/whinjunction-core/src/main/java/io/whinjunction/chain/Crowding.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/chain/Crowding.java
@@ -5,16 +5,13 @@
  * <p>
  * The load it answers: many requests at once, which fill the engines of one failure
  * domain while others, or copies of its layers, have room. Load moves away gently at
- * first and strongly near the end, and beyond the end nothing new comes: an engine that
- * was sent more than it holds had 133 requests waiting for two seconds and more, and 17
- * in 100 were on time. Stateless.
+ * first and strongly near the end, and beyond the end nothing new comes: requests that an
+ * engine has no room for wait there until others end. Stateless.
  */
 public final class Crowding {
 
 	/**
-	 * Tokens that other routers may have sent to an engine since they last said: 30
-	 * requests a second of 1,000 tokens in a fifth of a second. An engine with room for
-	 * twenty requests was sent half as many again, and put streams back for seconds.
+	 * Tokens that other routers may have sent to an engine since they last said.
 	 */
 	private static final double UNSEEN_TOKENS = 6_000;
 
--- a/whinjunction-core/src/main/java/io/whinjunction/chain/DomainPlan.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/chain/DomainPlan.java
@@ -47,9 +47,9 @@
 	private static final long RESERVE_TOKENS = 12_000;
 
 	/**
-	 * Engines are tried by steps of a quarter of the replicas: one engine more or less in
-	 * each replica changes its rate by a few hundredths, and of 522 engines all steps
-	 * would be 130,000 plans to rate.
+	 * Engines are tried by steps of a quarter of the replicas: one engine more or less
+	 * changes a replica's rate little, and the plans to rate grow with the square of the
+	 * engines.
 	 */
 	private static final int STEPS_PER_REPLICA = 4;
 
--- a/whinjunction-core/src/main/java/io/whinjunction/chain/LayerPlanner.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/chain/LayerPlanner.java
@@ -27,17 +27,14 @@
 public final class LayerPlanner {
 
 	/**
-	 * Room that an engine keeps which fills a hole, in tokens: about thirty requests.
-	 * With eight, a path through it was fuller than routers could know, and a hole that
-	 * other failure domains go round costs less than that.
+	 * Room that an engine keeps which fills a hole, in tokens: routers know its load
+	 * late, and a hole that other failure domains go round costs less than a full engine.
 	 */
 	private static final long EXTENDED_RESERVE_TOKENS = 30_000;
 
 	/**
 	 * The part of the tightest holder's room that an empty engine keeps when it fills a
-	 * hole: the narrowest part of a path bounds all of it. Three empty engines that
-	 * filled a hole of 25 layers to the brim left a fifth of the room, and 23 in 100
-	 * requests were on time.
+	 * hole: the narrowest part of a path bounds all of it.
 	 */
 	private static final double USUAL_ROOM_PART = 0.8;
 
--- a/whinjunction-core/src/main/java/io/whinjunction/chain/PathFinder.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/chain/PathFinder.java
@@ -36,11 +36,9 @@
 	private static final double HOP_MS = 0.2;
 
 	/**
-	 * What a hop to another failure domain adds. Its own delay is half a millisecond, but
-	 * the activations of a prompt of 1,000 tokens hold the pipe that all such hops share
-	 * for 18 ms: at 90 requests a second two changes each are three times what it
-	 * carries. As much as the whole path inside a failure domain, so that a path goes
-	 * elsewhere as a whole where it can.
+	 * What a hop to another failure domain adds: the activations of a prompt hold up the
+	 * pipe that all such hops share. As much as a whole path inside a failure domain, so
+	 * that a path goes elsewhere as a whole where it can.
 	 */
 	private static final double DOMAIN_CHANGE_MS = 8.0;
 
--- a/whinjunction-router/src/main/java/io/whinjunction/router/CallersPort.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/CallersPort.java
@@ -15,8 +15,7 @@
  * process needs most of its start for its classes and its first calls; until then its
  * port refused connections, callers have one more try, and both failed within a
  * millisecond. Connections that wait in the port's queue are answered as soon as there is
- * something to say: over eight emulated days of 34 s that end so, 3.3 in 100 requests
- * failed where 4.4 had. Where that takes longer than {@link #MOST_WAIT_MS}, the port is
+ * something to say. Where that takes longer than {@link #MOST_WAIT_MS}, the port is
  * closed again, so that callers turn to another router.
  * <p>
  * Invariant: the channel has one owner, this object until it is taken. Safe for one
--- a/whinjunction-router/src/main/java/io/whinjunction/router/LayerKeeper.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/LayerKeeper.java
@@ -55,8 +55,7 @@
 	/**
 	 * How long no engine must have come before an empty failure domain is planned, in
 	 * milliseconds. Engines come within about two seconds of each other; a plan for the
-	 * first few of them gave one engine half of the model, and 1,178 answers came whole
-	 * where 1,926 do.
+	 * first few of them gives one engine half of the model.
 	 */
 	private static final long SETTLE_MS = 1500;
 
--- a/whinjunction-router/src/main/java/io/whinjunction/router/QuestionBudget.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/QuestionBudget.java
@@ -8,9 +8,7 @@
  * The load it answers: a wave of losses in a large fleet. Each late stream asks all
  * engines of its path, each router for itself. A router may ask a whole path at once, and
  * then as many a second as leave the fleet's sum bounded: what one finds, it tells the
- * others. Over an emulated day with four losses at a time, 88 routers asked 582 questions
- * a second before, and 204 with this and with hearsay left alone by those who needn't
- * know.
+ * others.
  * <p>
  * Invariant: in any span, at most {@link #AT_ONCE} questions and the span's part of the
  * fleet's rate. Confined to one thread.
--- a/whinjunction-router/src/main/java/io/whinjunction/router/StallRules.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/StallRules.java
@@ -13,14 +13,14 @@
  * The load it answers: an engine in the middle of a path dies, and all streams over it
  * stop between two events. One late event says little, since a long prompt at any engine
  * delays it; several streams that are late at once, with none that goes on, have an
- * engine in common that doesn't work. Asking then, and not after three gaps of a single
- * stream, notices a loss about 60 ms sooner. Stateless.
+ * engine in common that doesn't work, and are noticed sooner than a single one.
+ * Stateless.
  */
 final class StallRules {
 
 	/**
-	 * A stream alone is late after this many of its usual gaps. At 110 ms for all
-	 * streams, a day of high load had 27,942 questions; at three gaps, 5,514.
+	 * A stream alone is late after this many of its usual gaps: fewer make a question of
+	 * each long prompt that is read before it.
 	 */
 	private static final double ALONE_GAPS = 3;
 
@@ -31,8 +31,8 @@
 	private static final double MOST_ALONE_MS = 400;
 
 	/**
-	 * Streams together are late after this many usual gaps. At 1.4, and with answers
-	 * awaited for 30 ms, one slow engine was taken for silent and 59 streams moved.
+	 * Streams together are late after this many usual gaps: a pass of a slow engine takes
+	 * longer than one.
 	 */
 	private static final double TOGETHER_GAPS = 1.8;
 
@@ -81,9 +81,8 @@
 	/**
 	 * Whether a missing answer says something of the engine.
 	 * <p>
-	 * The failure it is there for: a router that has just started is slow itself. It
-	 * asked 36 engines at once, saw to none of the answers within 80 ms, took all engines
-	 * for silent and gave up 218 streams, whose prompts then were read anew all at once.
+	 * The failure it guards against: a router that has just started is slow itself, sees
+	 * to answers too late, takes all engines for silent and gives all streams up.
 	 * @param sinceAskedMs the time since the question
 	 * @param limitMs the time that the engine had
 	 * @param ownDelayMs how late this process has been lately with its own work
@@ -132,8 +131,7 @@
 	/**
 	 * When a stream could next be late, if nothing comes of it until then.
 	 * <p>
-	 * The load it answers: thousands of streams that go on as usual. A look each 20 ms
-	 * woke each of 88 routers 50 times a second for nothing.
+	 * The load it answers: thousands of streams that go on as usual, which need no look.
 	 * @param pause the stream's pause
 	 * @return milliseconds from now; 0 where it is late already
 	 */
--- a/whinjunction-router/src/main/java/io/whinjunction/router/StopAdmission.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/StopAdmission.java
@@ -24,10 +24,7 @@
 
 	/**
 	 * The most of what may be repeated that is cut: its caller goes on elsewhere, and one
-	 * such cut weighs no more than twenty refusals, each of which delays a first event by
-	 * 170 ms. Over six emulated days with three routers stopped ten seconds apart, 16
-	 * streams were cut where 33 had been, 2 of them taken after the signal; 14 requests
-	 * were late where 13 had been, and none was refused for good.
+	 * such cut weighs no more than twenty refusals, each of which delays a first event.
 	 */
 	private static final double MOST_OUTLIVING = 0.05;
 
