--- a/whinjunction-router/src/test/java/io/whinjunction/router/ChunkFramingTests.java
+++ b/whinjunction-router/src/test/java/io/whinjunction/router/ChunkFramingTests.java
@@ -50,7 +50,10 @@
 			assertThat(part.decoderResult().isSuccess()).isTrue();
 			read.writeBytes(part.content());
 			ended = message instanceof LastHttpContent;
+			part.release();
 		}
+		server.finishAndReleaseAll();
+		client.finishAndReleaseAll();
 		assertThat(read).isEqualTo(Unpooled.wrappedBuffer(piece));
 		assertThat(ended).isTrue();
 	}
