Looks at streams pass over ended engines that no stream is over

Cause: from the first engine that started again on, each look at the streams sorted them all and counted engines, 10 to 20 times a second, since starts that have ended are remembered for good.

Change: a look goes on only where some stream is over an ended engine. Nothing else could be found by it: no stream is late then and no engine suspect. Not measured by itself.

--- a/whinjunction-router/src/main/java/io/whinjunction/router/EngineWatch.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/EngineWatch.java
@@ -149,7 +149,7 @@
 		}
 		double untilLateMs = untilLateMs();
 		this.timer.lookWithin(this.suspicions.isEmpty() ? untilLateMs : LookTimer.SHORTEST_MS);
-		if (untilLateMs > 0 && this.suspicions.isEmpty() && !this.router.directory().anyEnded()) {
+		if (untilLateMs > 0 && this.suspicions.isEmpty() && !anyOverEnded()) {
 			// Nearly every look finds nothing, and looks come many times a second.
 			return;
 		}
@@ -172,6 +172,21 @@
 		}
 	}
 
+	// Starts that have ended are remembered for good, and soon no stream is over one.
+	private boolean anyOverEnded() {
+		if (!this.router.directory().anyEnded()) {
+			return false;
+		}
+		for (Attempt stream : this.streams) {
+			for (Hop hop : stream.target().path()) {
+				if (this.router.directory().ended(hop.engine().id())) {
+					return true;
+				}
+			}
+		}
+		return false;
+	}
+
 	private double untilLateMs() {
 		long nowMs = this.router.nowMs();
 		double untilLateMs = LookTimer.LONGEST_MS;
