--- a/whinjunction-router/src/main/java/io/whinjunction/router/PeerLink.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/PeerLink.java
@@ -1,6 +1,7 @@
 package io.whinjunction.router;
 
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -122,15 +123,24 @@
 		if (targets.isEmpty()) {
 			return;
 		}
-		byte[] bytes = this.codec.encode(this.handler.status(this.table.ask(this.router.bootMs()), false));
+		List<byte[]> messages = new ArrayList<>();
+		messages.add(this.codec.encode(this.handler.status(this.table.ask(this.router.bootMs()), false)));
+		addNews(messages);
 		for (String target : targets) {
-			send(bytes, Addresses.parse(target));
-			tellNews(Addresses.parse(target));
+			InetSocketAddress address = Addresses.parse(target);
+			messages.forEach((message) -> send(message, address));
 		}
 	}
 
-	private void tellNews(InetSocketAddress target) {
-		this.handler.news().forEach((message) -> send(this.codec.encode(message), target));
+	private void answer(long sequence, InetSocketAddress asker) {
+		List<byte[]> messages = new ArrayList<>();
+		messages.add(this.codec.encode(this.handler.status(sequence, true)));
+		addNews(messages);
+		messages.forEach((message) -> send(message, asker));
+	}
+
+	private void addNews(List<byte[]> messages) {
+		this.handler.news().forEach((news) -> messages.add(this.codec.encode(news)));
 	}
 
 	/**
@@ -152,8 +162,7 @@
 			case PeerStatus status -> {
 				this.handler.heard(status);
 				if (!status.answer()) {
-					send(this.codec.encode(this.handler.status(status.sequence(), true)), packet.sender());
-					tellNews(packet.sender());
+					answer(status.sequence(), packet.sender());
 				}
 			}
 			case PeerMessage.ChangesQuestion question ->
