--- a/whinjunction-router/src/main/java/io/whinjunction/router/Attempt.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/Attempt.java
@@ -138,7 +138,7 @@
 	}
 
 	private void notSent(String reason) {
-		this.session.countNotSent();
+		this.session.history().notSentOnce();
 		end(new AttemptEnd.NotSent(reason), null);
 	}
 
@@ -149,7 +149,7 @@
 			this.session.router().watch().add(this);
 			this.load.readingBegan();
 		}
-		this.session.countSent(this.first);
+		this.session.history().sentTo(this.first);
 		CallerRequest request = this.session.request();
 		this.connection.begin(request.id(), this);
 		HttpHeaders headers = new DefaultHttpHeaders();
--- a/whinjunction-router/src/main/java/io/whinjunction/router/ForwardSession.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/ForwardSession.java
@@ -1,6 +1,5 @@
 package io.whinjunction.router;
 
-import java.util.HashSet;
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
@@ -61,11 +60,7 @@
 
 	private final long startedMs;
 
-	/** Upstreams that made the request fail. */
-	private final Set<String> tried = new HashSet<>();
-
-	/** Upstreams that it was sent to. */
-	private final Set<String> sentTo = new HashSet<>();
+	private final AttemptHistory history = new AttemptHistory();
 
 	/** {@code null} until the body is read as far as it is kept. */
 	private RequestFingerprint fingerprint;
@@ -94,8 +89,6 @@
 
 	private boolean done;
 
-	private boolean mayHaveRun;
-
 	/**
 	 * Whether it was sent although it crashes upstreams, to see whether it still does.
 	 */
@@ -103,10 +96,6 @@
 
 	private final StreamProgress progress = new StreamProgress();
 
-	private int sent;
-
-	private int notSent;
-
 	ForwardSession(RouterContext router, CallerConnection caller, CallerRequest request, long announcedBytes) {
 		this.router = router;
 		this.caller = caller;
@@ -199,8 +188,7 @@
 			onAnswerOverTime();
 			return;
 		}
-		boolean ran = this.mayHaveRun || (this.attempt != null && this.attempt.sent());
-		if (ran) {
+		if (givenUp() instanceof NextStep.Fail) {
 			finish("failed", "timeout", Answer.own(HttpResponseStatus.GATEWAY_TIMEOUT, "no answer came in time"));
 		}
 		else {
@@ -228,8 +216,7 @@
 		if (this.done) {
 			return false;
 		}
-		boolean ran = this.mayHaveRun || (this.attempt != null && this.attempt.sent());
-		giveUp(ran ? new NextStep.Fail() : new NextStep.Refuse(), STOPPING);
+		giveUp(givenUp(), STOPPING);
 		return this.answerBegun;
 	}
 
@@ -247,14 +234,13 @@
 		Optional<CrashingRequests.Refusal> crashing = this.router.crashGuard()
 			.refusal(this.request.id(), this.fingerprint);
 		if (crashing.isPresent()) {
-			giveUp(this.mayHaveRun ? new NextStep.Fail() : new NextStep.Refuse(), CRASHES_UPSTREAMS,
-					crashing.get().retryAfterMs());
+			giveUp(givenUp(), CRASHES_UPSTREAMS, crashing.get().retryAfterMs());
 			return;
 		}
 		this.triesAgain = this.router.crashGuard().isRefused(this.fingerprint);
 		Optional<Target> target = chooseTarget();
 		if (target.isEmpty()) {
-			giveUp(this.mayHaveRun ? new NextStep.Fail() : new NextStep.Refuse(), "no-upstream");
+			giveUp(givenUp(), "no-upstream");
 			return;
 		}
 		this.lastTarget = target.get();
@@ -271,7 +257,7 @@
 		if (this.answerBegun || !this.router.stopping()) {
 			return false;
 		}
-		boolean again = this.sent + this.notSent > 0;
+		boolean again = this.history.sent() + this.history.notSent() > 0;
 		Optional<StopAdmission.Judgement> judgement = this.router.judgeInStop(new StopAdmission.Candidate(family(),
 				this.route.repeatable(), again, this.request.lastEventId() != null, longestMs()));
 		judgement.ifPresent((judged) -> RequestLog.judgedInStop(this, judged));
@@ -289,9 +275,10 @@
 	}
 
 	private Optional<Target> chooseTarget() {
-		boolean again = RetryPolicy.onlyTriedOnes(this.route, this.sentTo.size());
-		TargetChooser.Wish wish = new TargetChooser.Wish(this.service, expectedTokens(), this.tried,
-				again ? this.sentTo : null, !this.answerBegun);
+		Set<String> sentTo = this.history.sentTo();
+		boolean again = RetryPolicy.onlyTriedOnes(this.route, sentTo.size());
+		TargetChooser.Wish wish = new TargetChooser.Wish(this.service, expectedTokens(), this.history.failedAt(),
+				again ? sentTo : null, !this.answerBegun);
 		return this.router.chooser().choose(wish, this.router.nowMs());
 	}
 
@@ -308,14 +295,14 @@
 		if (this.done) {
 			return;
 		}
-		RetryPolicy.History history = new RetryPolicy.History(this.sent, this.notSent, this.mayHaveRun);
-		this.mayHaveRun |= end instanceof AttemptEnd.Unknown || end instanceof AttemptEnd.Failed;
+		RetryPolicy.History before = this.history.forRetry();
+		this.history.ended(end);
 		// Before a repeat is taken from what all routers share.
 		if (outlivesRouter()) {
-			giveUp(this.mayHaveRun ? new NextStep.Fail() : new NextStep.Refuse(), STOPPING);
+			giveUp(givenUp(), STOPPING);
 			return;
 		}
-		NextStep next = RetryPolicy.next(this.route, end, history, leftMs(), this::repeatGranted);
+		NextStep next = RetryPolicy.next(this.route, end, before, leftMs(), this::repeatGranted);
 		// What was passed on of an answer without events can't be taken back.
 		boolean replayable = !this.body.passingThrough()
 				&& (!this.answerBegun || this.route.kind() == RequestKind.STREAMING);
@@ -323,7 +310,11 @@
 			tryNext();
 			return;
 		}
-		giveUp(this.mayHaveRun ? new NextStep.Fail() : new NextStep.Refuse(), end.reason());
+		giveUp(givenUp(), end.reason());
+	}
+
+	private NextStep givenUp() {
+		return this.history.givenUp(this.attempt != null && this.attempt.sent());
 	}
 
 	/**
@@ -348,8 +339,8 @@
 			return false;
 		}
 		AttemptEnd end = new AttemptEnd.Unknown("stalled");
-		RetryPolicy.History history = new RetryPolicy.History(this.sent, this.notSent, true);
-		NextStep next = RetryPolicy.next(this.route, end, history, leftMs(), this::repeatGranted);
+		RetryPolicy.History counted = new RetryPolicy.History(this.history.sent(), this.history.notSent(), true);
+		NextStep next = RetryPolicy.next(this.route, end, counted, leftMs(), this::repeatGranted);
 		if (!(next instanceof NextStep.TryAgain)) {
 			return false;
 		}
@@ -358,7 +349,7 @@
 		this.attempt = null;
 		avoid(stalled, end, faultyAddress);
 		RequestLog.attemptEnded(this, stalled, end, faultyAddress);
-		this.mayHaveRun = true;
+		this.history.ended(end);
 		tryNext();
 		return true;
 	}
@@ -372,9 +363,10 @@
 	Optional<List<Hop>> detour(String faultyAddress, Hop first) {
 		UpstreamState faulty = this.router.directory().findByAddress(this.service.name(), faultyAddress);
 		if (faulty != null) {
-			this.tried.add(faulty.upstream().incarnation());
+			this.history.failedAt(faulty.incarnation());
 		}
-		TargetChooser.Wish wish = new TargetChooser.Wish(this.service, expectedTokens(), this.tried, null, false);
+		TargetChooser.Wish wish = new TargetChooser.Wish(this.service, expectedTokens(), this.history.failedAt(), null,
+				false);
 		return this.router.chooser().detour(wish, first, this.router.nowMs());
 	}
 
@@ -389,15 +381,15 @@
 				? this.router.directory().findByAddress(this.service.name(), faultyAddress) : null;
 		if (faulty != null) {
 			faulty.avoidUntil(untilMs);
-			this.tried.add(faulty.upstream().incarnation());
-			this.router.watch().hearsay(faulty.upstream().incarnation());
+			this.history.failedAt(faulty.incarnation());
+			this.router.watch().hearsay(faulty.incarnation());
 			return;
 		}
 		Upstream first = ended.target().first();
 		// A chain may begin at the same engine again: a lost answer or a full engine says
 		// little of it, and where the route allows no other one, there is none else.
 		if (!this.service.chained()) {
-			this.tried.add(first.incarnation());
+			this.history.failedAt(first.incarnation());
 		}
 		UpstreamState state = this.router.directory().find(first.incarnation());
 		if (state != null && !(end instanceof AttemptEnd.Failed)) {
@@ -605,17 +597,8 @@
 		return this.startedMs;
 	}
 
-	int sent() {
-		return this.sent;
-	}
-
-	int notSent() {
-		return this.notSent;
-	}
-
-	void countSent(String upstreamId) {
-		this.sent++;
-		this.sentTo.add(upstreamId);
+	AttemptHistory history() {
+		return this.history;
 	}
 
 	/**
@@ -628,10 +611,6 @@
 		return this.request.promptTokens() + Math.min(this.request.answerTokens(), usual);
 	}
 
-	void countNotSent() {
-		this.notSent++;
-	}
-
 	/**
 	 * Whether the request may go to an upstream at this moment; asked right before it
 	 * does, since the process may have been suspended after its key was checked.
--- a/whinjunction-router/src/main/java/io/whinjunction/router/RequestLog.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/RequestLog.java
@@ -34,10 +34,10 @@
 					session.request().id(), print(session), outcome, reason, kind,
 					(session.route() != null) ? session.route().name() : "-",
 					(session.service() != null) ? session.service().name() : "-",
-					(session.teamName() != null) ? session.teamName() : "-", session.sent(), session.notSent(),
-					session.events().events(), session.request().promptTokens(), session.request().answerTokens(),
-					session.progress(), tookMs, aimMs(session.route()), gapAimMs(session.route()),
-					takenInStopMs(router, tookMs), target(session.lastTarget()),
+					(session.teamName() != null) ? session.teamName() : "-", session.history().sent(),
+					session.history().notSent(), session.events().events(), session.request().promptTokens(),
+					session.request().answerTokens(), session.progress(), tookMs, aimMs(session.route()),
+					gapAimMs(session.route()), takenInStopMs(router, tookMs), target(session.lastTarget()),
 					(configuration != null) ? configuration.version() : -1, router.proof().ageMs(router.bootMs()));
 	}
 
