Events go to callers through the library's encoder again

Found by reading it again: the encoder drops the body of an answer whose status allows none (205), and so does not frame it; what was written past the encoder would have followed the head as bytes of the next answer.

--- a/whinjunction-router/src/main/java/io/whinjunction/router/CallerConnection.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/CallerConnection.java
@@ -23,7 +23,6 @@
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
@@ -53,8 +52,6 @@
 
 	private Channel channel;
 
-	private ChannelHandlerContext encoder;
-
 	private ForwardSession session;
 
 	private boolean bodyOpen;
@@ -76,7 +73,6 @@
 	@Override
 	public void channelActive(ChannelHandlerContext context) {
 		this.channel = context.channel();
-		this.encoder = context.pipeline().context(HttpResponseEncoder.class);
 		this.quietSinceMs = this.router.nowMs();
 		this.router.callers().add(this);
 	}
@@ -230,13 +226,7 @@
 	 * @param content the piece, whose ownership passes on
 	 */
 	void writeBody(ByteBuf content) {
-		if (ChunkFraming.takes(content)) {
-			// Past the encoder, which goes on where it was: between two chunks.
-			this.encoder.write(ChunkFraming.frame(this.channel.alloc(), content));
-		}
-		else {
-			this.channel.write(new DefaultHttpContent(content));
-		}
+		this.channel.write(new DefaultHttpContent(content));
 	}
 
 	/** Sends what was written. */
