Attempts log the Retry-After and the leaving notice of an upstream's answer

Nothing in the logs told a router that ignores Retry-After from one that knows it and rates other upstreams worse. No decision uses them yet.

--- a/whinjunction-router/src/main/java/io/whinjunction/router/Attempt.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/Attempt.java
@@ -257,6 +257,14 @@
 		return this.eventBatches;
 	}
 
+	/**
+	 * Returns what the upstream states about itself in its answer.
+	 * @return the notice; {@link UpstreamNotice#NONE} before the head of the answer
+	 */
+	UpstreamNotice notice() {
+		return (this.head != null) ? this.head.notice() : UpstreamNotice.NONE;
+	}
+
 	int promptTokens() {
 		return this.session.request().promptTokens();
 	}
--- a/whinjunction-router/src/main/java/io/whinjunction/router/RequestLog.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/RequestLog.java
@@ -91,10 +91,11 @@
 		String kind = end.getClass().getSimpleName();
 		session.router().metrics().attempt(kind);
 		logger.atInfo()
-			.log("event=attempt id=%s print=%s end=%s reason=\"%s\" upstream=%s faulty=%s hops=%d events=%d left-ms=%d",
-					session.request().id(), print(session), kind, end.reason(), attempt.target().first().id(),
-					(faultyAddress != null) ? faultyAddress : "-", attempt.target().path().size(),
-					attempt.eventBatches(), session.leftMs());
+			.log("event=attempt id=%s print=%s end=%s reason=\"%s\" upstream=%s faulty=%s hops=%d events=%d left-ms=%d "
+					+ "retry-after-ms=%d upstream-leaving=%s", session.request().id(), print(session), kind,
+					end.reason(), attempt.target().first().id(), (faultyAddress != null) ? faultyAddress : "-",
+					attempt.target().path().size(), attempt.eventBatches(), session.leftMs(),
+					attempt.notice().retryAfterMs(), attempt.notice().leaving());
 	}
 
 }
--- a/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamHead.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamHead.java
@@ -14,9 +14,10 @@
  * if not given
  * @param limitPerSecond the requests per second that the upstream accepts from all
  * routers together; -1 if it reports no limit
+ * @param notice what the upstream states about itself
  */
 public record UpstreamHead(String requestId, int status, boolean notRun, boolean genuine, String faultyAddress,
-		long keepAliveMs, double limitPerSecond) {
+		long keepAliveMs, double limitPerSecond, UpstreamNotice notice) {
 
 	/**
 	 * Whether it is a success.
--- a/whinjunction-router/src/test/java/io/whinjunction/router/UpstreamLimitsTests.java
+++ b/whinjunction-router/src/test/java/io/whinjunction/router/UpstreamLimitsTests.java
@@ -149,7 +149,7 @@
 	}
 
 	private static UpstreamHead head(int status, double limitPerSecond) {
-		return new UpstreamHead("id", status, false, true, null, -1, limitPerSecond);
+		return new UpstreamHead("id", status, false, true, null, -1, limitPerSecond, UpstreamNotice.NONE);
 	}
 
 	private List<UpstreamLimits> fleet(int routers) {
