Send nothing to an upstream within its Retry-After

Callers saw drafts that were turned away up to three times by one and the same engine before they were refused, and bookings that were refused one after the other while two other servers could run them.

Cause: Retry-After was read by nobody. A 503 counted as not run, and the router rated the upstream down for its own 700 ms, chosen for upstreams that fail without saying how long. Evidence: the requests of one router are 0.75 to 0.85 s apart, and the header had no reader in the code.

UpstreamAvailability takes the head of each answer, also of surplus ones and of those to status queries and orders, and RequestedBackoffs keeps the latest end that an upstream named. Until then it starts no attempt, is left out of status queries, surveys, orders and detours, and a path passes through it only if there is no other. What no upstream takes is refused at once with the time until the first one does.

--- /dev/null
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamAvailability.java
@@ -0,0 +1,79 @@
+package io.whinjunction.router;
+
+import java.util.Collection;
+
+import com.google.common.flogger.FluentLogger;
+import io.whinjunction.availability.RequestedBackoffs;
+import io.whinjunction.availability.UpstreamNotice;
+
+/**
+ * Applies what upstreams state about themselves in their answers to requests, status
+ * queries and orders.
+ * <p>
+ * Invariant: until the end of the backoff that an upstream requested, this router sends
+ * it nothing; a path of engines that begins elsewhere passes through it only if there is
+ * no other path. An upstream requests a backoff from one router, so it is not reported to
+ * peers. Confined to the event loop.
+ */
+final class UpstreamAvailability {
+
+	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+	private final RouterContext router;
+
+	private final RequestedBackoffs backoffs = new RequestedBackoffs();
+
+	/**
+	 * Creates a table without backoffs.
+	 * @param router the clock
+	 */
+	UpstreamAvailability(RouterContext router) {
+		this.router = router;
+	}
+
+	/**
+	 * Processes the head of any answer of an upstream.
+	 * @param upstream the upstream that was called
+	 * @param status the status of the answer
+	 * @param notice what the upstream states about itself
+	 */
+	void answered(Upstream upstream, int status, UpstreamNotice notice) {
+		long backoffMs = notice.backoffMs(status);
+		if (this.backoffs.request(upstream.incarnation(), backoffMs, this.router.nowMs())) {
+			logger.atInfo()
+				.log("event=upstream-backoff upstream=%s address=%s backoff-ms=%d", upstream.incarnation(),
+						upstream.address(), backoffMs);
+		}
+	}
+
+	/**
+	 * Returns whether an upstream requested not to be called now.
+	 * @param upstream the incarnation of the upstream
+	 * @return {@code true} until the backoff ends
+	 */
+	boolean backingOff(String upstream) {
+		return this.backoffs.active(upstream, this.router.nowMs());
+	}
+
+	/**
+	 * Returns when the first of several upstreams may be called.
+	 * @param upstreams the upstreams
+	 * @return milliseconds from now; 0 if one may be called now, or there is none
+	 */
+	long backoffMs(Collection<UpstreamState> upstreams) {
+		long nowMs = this.router.nowMs();
+		return upstreams.stream()
+			.mapToLong((state) -> this.backoffs.remainingMs(state.incarnation(), nowMs))
+			.min()
+			.orElse(0);
+	}
+
+	/**
+	 * Returns the number of upstreams that requested not to be called now.
+	 * @return the number
+	 */
+	int backingOffCount() {
+		return this.backoffs.count(this.router.nowMs());
+	}
+
+}
