An upstream that states that it leaves gets no new requests, whatever the list shows

Callers could be sent to an upstream after it had answered Server-Leaving: 1, until the store listed it as draining, and longer while the store is down or forgets entries.

Cause: the header is new and was read by nobody; a leaving upstream was known from the list alone. The same cause as Retry-After: what upstreams state in the heads of their answers reaches no decision.

UpstreamAvailability marks the incarnation in the directory, from answers of any status to requests, status queries and orders, and from late and surplus ones. The mark outlasts later entries of the list and a removal; a restart has another incarnation and starts without it. Layers are planned again at once, and an order under way is dropped.

--- a/whinjunction-router/src/main/java/io/whinjunction/router/Attempt.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/Attempt.java
@@ -18,6 +18,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.whinjunction.availability.UpstreamNotice;
 import io.whinjunction.chain.Hop;
 import io.whinjunction.forward.AttemptOutcome;
 import io.whinjunction.routing.RequestKind;
@@ -122,11 +123,16 @@
 			return;
 		}
 		UpstreamState state = this.session.router().directory().find(this.first);
-		if (state == null || state.upstream().leaving()) {
+		if (state == null || state.leaving()) {
 			connected.channel().close();
 			notSent("upstream-left");
 			return;
 		}
+		if (this.session.router().availability().backingOff(this.first)) {
+			connected.channel().close();
+			notSent("upstream-backoff");
+			return;
+		}
 		if (!this.session.stillAllowed()) {
 			connected.channel().close();
 			notSent("unproved-keys");
@@ -292,8 +298,10 @@
 			return;
 		}
 		Hop first = this.target.path().getFirst();
-		Optional<List<Hop>> detour = (this.eventBatches > 0 && !first.engine().address().equals(address))
-				? this.session.detour(address, first) : Optional.empty();
+		boolean accepts = !first.engine().address().equals(address)
+				&& !this.session.router().availability().backingOff(this.first);
+		Optional<List<Hop>> detour = (this.eventBatches > 0 && accepts) ? this.session.detour(address, first)
+				: Optional.empty();
 		if (detour.isPresent() && Target.domainChanges(detour.get()) == 0) {
 			orderDetour(address, detour.get());
 		}
@@ -306,7 +314,7 @@
 		this.detouring = true;
 		this.session.router()
 			.engines()
-			.repath(this.target.first().address(), this.session.request().id(), path,
+			.repath(this.target.first(), this.session.request().id(), path,
 					(reply) -> onDetourReply(address, path, reply));
 	}
 
--- a/whinjunction-router/src/main/java/io/whinjunction/router/EngineMonitor.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/EngineMonitor.java
@@ -27,7 +27,8 @@
  * <p>
  * Invariant: an engine is queried at most once per {@link #QUERY_INTERVAL_MS}, and while
  * it is suspect once per {@link #SUSPECT_QUERY_INTERVAL_MS}, so that status queries do
- * not slow a slow fleet down further. Confined to the event loop.
+ * not slow a slow fleet down further, and not at all while it requests a backoff.
+ * Confined to the event loop.
  */
 final class EngineMonitor {
 
@@ -308,6 +309,9 @@
 		}
 
 		void query(Upstream upstream) {
+			if (EngineMonitor.this.router.availability().backingOff(upstream.incarnation())) {
+				return;
+			}
 			long nowMs = EngineMonitor.this.router.nowMs();
 			Suspicion suspicion = EngineMonitor.this.suspicions.get(upstream.incarnation());
 			boolean urgent = suspicion != null && suspicion.unanswered < LOST_AFTER_UNANSWERED;
@@ -326,7 +330,7 @@
 			}
 			this.queried++;
 			this.pending.put(upstream.incarnation(), upstream);
-			EngineMonitor.this.engines.queryStatus(upstream.address(), QUERY_TIMEOUT_MS,
+			EngineMonitor.this.engines.queryStatus(upstream, QUERY_TIMEOUT_MS,
 					(report) -> onReply(upstream, nowMs, report));
 		}
 
@@ -344,6 +348,10 @@
 			if (holds) {
 				onWorking(upstream);
 			}
+			else if (EngineMonitor.this.router.availability().backingOff(upstream.incarnation())) {
+				// The engine answered the query with its request for a backoff.
+				this.replies++;
+			}
 			else if (report.isPresent() || (wasPending && conclusive(queriedMs, QUERY_TIMEOUT_MS))) {
 				onSilent(upstream, report.isPresent());
 			}
--- a/whinjunction-router/src/main/java/io/whinjunction/router/ForwardSession.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/ForwardSession.java
@@ -404,7 +404,8 @@
 	}
 
 	private void giveUp(RetryDecision step, String reason) {
-		giveUp(step, reason, reason.equals(STOPPING) ? RequestGate.RETRY_ELSEWHERE_MS : RETRY_AFTER_MS);
+		giveUp(step, reason, reason.equals(STOPPING) ? RequestGate.RETRY_ELSEWHERE_MS
+				: Math.max(RETRY_AFTER_MS, this.router.chooser().backoffMs(this.service)));
 	}
 
 	private void giveUp(RetryDecision step, String reason, long retryAfterMs) {
--- a/whinjunction-router/src/main/java/io/whinjunction/router/LayerReconciler.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/LayerReconciler.java
@@ -25,7 +25,8 @@
  * <p>
  * Invariants: no order is issued after the lease expired by this process's own clock.
  * Each order carries the fencing number and the number of orders that the engine had
- * begun, so that the engine refuses a late or duplicate order. Confined to the event
+ * begun, so that the engine refuses a late or duplicate order. An engine that requested a
+ * backoff is neither queried nor given an order until its end. Confined to the event
  * loop.
  */
 final class LayerReconciler {
@@ -117,7 +118,10 @@
 	}
 
 	private void survey(Upstream upstream) {
-		this.engines.queryStatus(upstream.address(), STATUS_TIMEOUT_MS, (report) -> {
+		if (this.router.availability().backingOff(upstream.incarnation())) {
+			return;
+		}
+		this.engines.queryStatus(upstream, STATUS_TIMEOUT_MS, (report) -> {
 			logger.atInfo()
 				.log("event=engine-state engine=%s domain=%s kind=%s listed=%s report=\"%s\"", upstream.incarnation(),
 						upstream.failureDomain(), upstream.kind(), upstream.held(), report.orElse(null));
@@ -166,7 +170,8 @@
 		List<Engine> state = new ArrayList<>();
 		for (UpstreamState upstream : this.router.directory().active(service.name())) {
 			EngineKind kind = profile.kinds().get(upstream.upstream().kind());
-			if (kind != null && !this.router.engineMonitor().lost(upstream.upstream().incarnation())) {
+			if (kind != null && !this.router.engineMonitor().lost(upstream.incarnation())
+					&& (upstream.upstream().held() != null || acceptsOrders(upstream.incarnation()))) {
 				state.add(engine(upstream.upstream(), kind));
 			}
 		}
@@ -245,12 +250,27 @@
 		return (long) (2 * loadedRatio * profile.loadSeconds() * 1000) + ORDER_SLACK_MS;
 	}
 
+	private boolean acceptsOrders(String engine) {
+		UpstreamState state = this.router.directory().find(engine);
+		return (state == null || !state.leaving()) && !this.router.availability().backingOff(engine);
+	}
+
 	private void order(ModelProfile profile, Placement placement) {
 		Engine engine = placement.engine();
+		UpstreamState planned = this.router.directory().find(engine.id());
+		if (planned == null || !acceptsOrders(engine.id())) {
+			logDropped(engine, "gone-or-backoff");
+			return;
+		}
 		this.pendingOrders.put(engine.id(), new PendingOrder(placement.layers(), this.router.nowMs()));
-		this.engines.queryStatus(engine.address(), STATUS_TIMEOUT_MS, (report) -> {
+		this.engines.queryStatus(planned.upstream(), STATUS_TIMEOUT_MS, (report) -> {
 			UpstreamState state = this.router.directory().find(engine.id());
-			if (state == null || (report.isPresent()
+			if (!acceptsOrders(engine.id())) {
+				// Planned again once the engine accepts orders.
+				this.pendingOrders.remove(engine.id());
+				logDropped(engine, "leaving-or-backoff");
+			}
+			else if (state == null || (report.isPresent()
 					&& !this.router.directory().confirmIncarnation(state.upstream(), report.get()))) {
 				// The engine has restarted: it counts its orders from zero and holds
 				// none of the layers that the plan was based on.
@@ -263,7 +283,7 @@
 				logDropped(engine, "no-lease");
 			}
 			else {
-				place(engine, placement.layers(), report.get());
+				place(state.upstream(), placement.layers(), report.get());
 			}
 		});
 	}
@@ -272,15 +292,15 @@
 		logger.atWarning().log("event=order-dropped engine=%s reason=%s", engine.id(), reason);
 	}
 
-	private void place(Engine engine, LayerRange layers, EngineReport report) {
+	private void place(Upstream engine, LayerRange layers, EngineReport report) {
 		EngineControl.PlaceOrder order = new EngineControl.PlaceOrder(layers, this.leadership.fencing(),
 				report.orders());
-		this.engines.place(engine.address(), order, (reply) -> onReply(engine, order, reply));
+		this.engines.place(engine, order, (reply) -> onReply(engine, order, reply));
 	}
 
-	private void onReply(Engine engine, EngineControl.PlaceOrder order, OrderReply reply) {
+	private void onReply(Upstream engine, EngineControl.PlaceOrder order, OrderReply reply) {
 		logger.atInfo()
-			.log("event=order engine=%s domain=%s layers=%s fencing=%d expected=%d reply=\"%s\"", engine.id(),
+			.log("event=order engine=%s domain=%s layers=%s fencing=%d expected=%d reply=\"%s\"", engine.incarnation(),
 					engine.failureDomain(), order.layers(), order.fencing(), order.expectedOrders(), reply);
 		if (reply instanceof OrderReply.Fenced) {
 			this.leadership.fenced();
--- a/whinjunction-router/src/main/java/io/whinjunction/router/Router.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/Router.java
@@ -105,6 +105,8 @@
 
 	private final UpstreamLimits limits;
 
+	private final UpstreamAvailability availability;
+
 	private final FleetStore store;
 
 	private final EngineControl engines;
@@ -156,13 +158,15 @@
 		this.proof = new ConfigurationProof(settings.bounds().keysMs() - KEY_MARGIN_MS,
 				settings.bounds().configurationMs());
 		this.peers = new PeerTable(Addresses.text(settings.peers()), this.random);
-		this.pool = new UpstreamPool(this.loop, this.dialect, this.ticker);
+		this.availability = new UpstreamAvailability(this, this::replan);
+		this.pool = new UpstreamPool(this.loop, this.dialect, this.ticker, this.availability);
 		this.directory = new UpstreamDirectory((upstream) -> this.pool.drop(upstream.incarnation()));
 		this.engineMonitor = new EngineMonitor(this, ports.engines(), this::engineStateChanged,
 				() -> leadership().holds());
 		this.crashGuard = new CrashGuard(this, ports.store(), () -> peerLink().sendStatusNow());
 		this.store = ports.store();
 		this.engines = ports.engines();
+		this.engines.onAnswer(this.availability::answered);
 		this.configurationSynchronizer = new ConfigurationSynchronizer(this.loop, ports.store(), this.proof, boot,
 				settings.bounds().configurationMs(), () -> directorySynchronizer().readsEarly(),
 				this::listenWhenInitialized, ports.store().era(), this.random);
@@ -170,7 +174,8 @@
 				() -> peers().hasLeader(nowMs()));
 		this.layerReconciler = new LayerReconciler(this, ports.engines(), this.leadership);
 		this.limits = new UpstreamLimits(this, this.random);
-		this.chooser = new TargetChooser(this.directory, this.peers, this.limits, this.layerReconciler.slowdowns(),
+		this.chooser = new TargetChooser(this.directory, this.peers,
+				new TargetChooser.Admission(this.limits, this.availability), this.layerReconciler.slowdowns(),
 				settings.failureDomain());
 		this.directorySynchronizer = new DirectorySynchronizer(this, ports.store(), new DirectoryListener(),
 				() -> this.leadership.holds(), settings.bounds().drainMs(), this.random);
@@ -270,6 +275,10 @@
 		this.layerReconciler.plan();
 	}
 
+	private void replan() {
+		this.layerReconciler.plan();
+	}
+
 	private void initializeCaller(SocketChannel channel) {
 		HttpDecoderConfig config = new HttpDecoderConfig().setMaxHeaderSize(MAX_HEAD_BYTES)
 			.setMaxInitialLineLength(MAX_HEAD_BYTES);
@@ -365,6 +374,7 @@
 		this.metrics.state("upstreams", this.directory.size());
 		this.metrics.state("callers", this.callers.size());
 		this.metrics.state("limited_upstreams", this.limits.count());
+		this.metrics.state("backing_off_upstreams", this.availability.backingOffCount());
 		this.metrics.state("crashing_requests", this.crashGuard.refused());
 		this.metrics.state("leading", this.leadership.holds() ? 1 : 0);
 	}
@@ -446,6 +456,11 @@
 		return this.limits;
 	}
 
+	@Override
+	public UpstreamAvailability availability() {
+		return this.availability;
+	}
+
 	@Override
 	public Set<CallerConnection> callers() {
 		return this.callers;
--- a/whinjunction-router/src/main/java/io/whinjunction/router/RouterContext.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/RouterContext.java
@@ -87,6 +87,12 @@
 	 */
 	UpstreamLimits limits();
 
+	/**
+	 * Returns what upstreams stated about themselves.
+	 * @return the table
+	 */
+	UpstreamAvailability availability();
+
 	/**
 	 * Returns the open connections of callers.
 	 * @return the set, to which connections add themselves
--- a/whinjunction-router/src/main/java/io/whinjunction/router/TargetChooser.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/TargetChooser.java
@@ -22,8 +22,8 @@
  * Selects the target of an attempt from the directory of upstreams.
  * <p>
  * Invariant: an attempt does not start at an upstream that is leaving, at which the same
- * request failed before, or whose reported limit leaves no share to this router. Confined
- * to the event loop.
+ * request failed before, whose reported limit leaves no share to this router, or that
+ * requested not to be called now. Confined to the event loop.
  */
 final class TargetChooser {
 
@@ -31,7 +31,7 @@
 
 	private final PeerTable peers;
 
-	private final UpstreamLimits limits;
+	private final Admission admission;
 
 	private final Map<String, Double> slowdowns;
 
@@ -41,14 +41,14 @@
 	 * Creates a chooser.
 	 * @param directory the upstreams
 	 * @param peers the reported load of peers
-	 * @param limits the limits that upstreams report
+	 * @param admission what upstreams allow this router to send
 	 * @param slowdowns how much slower than usual engines work, by incarnation, as
 	 * measured by this router; read at each choice
 	 * @param failureDomain the failure domain of this router
 	 */
-	TargetChooser(UpstreamDirectory directory, PeerTable peers, UpstreamLimits limits, Map<String, Double> slowdowns,
+	TargetChooser(UpstreamDirectory directory, PeerTable peers, Admission admission, Map<String, Double> slowdowns,
 			String failureDomain) {
-		this.limits = limits;
+		this.admission = admission;
 		this.slowdowns = slowdowns;
 		this.directory = directory;
 		this.peers = peers;
@@ -71,7 +71,7 @@
 	private Optional<Target> chooseTried(Set<String> tried) {
 		return tried.stream()
 			.map(this.directory::find)
-			.filter((state) -> state != null && !state.upstream().leaving() && withinLimit(state))
+			.filter((state) -> state != null && !state.leaving() && mayStartAt(state.incarnation()))
 			.min(Comparator.comparingInt(UpstreamState::requests))
 			.map((state) -> new Target(state.upstream(), List.of()));
 	}
@@ -86,7 +86,7 @@
 			.thenComparing((state) -> state.incarnation());
 		return this.directory.active(criteria.service().name())
 			.stream()
-			.filter((state) -> !tried.contains(state.incarnation()) && withinLimit(state))
+			.filter((state) -> !tried.contains(state.incarnation()) && mayStartAt(state.incarnation()))
 			.min(order)
 			.map((state) -> new Target(state.upstream(), List.of()));
 	}
@@ -94,7 +94,7 @@
 	private Optional<Target> chain(Criteria criteria, long nowMs) {
 		Predicate<Engine> mayStart = (
 				engine) -> (criteria.onlyFirst() == null || criteria.onlyFirst().contains(engine.id()))
-						&& this.limits.allows(engine.id());
+						&& mayStartAt(engine.id());
 		return PathFinder
 			.find(criteria.service().model(), candidates(criteria, nowMs),
 					PathFinder.Start.full(this.failureDomain, mayStart))
@@ -133,15 +133,33 @@
 			double usedRatio = usedRatio(profile, kind, state, nowMs);
 			if (!criteria.mustFit() || !full(profile, kind, state.upstream().held(), usedRatio)) {
 				PathCosts.Load load = new PathCosts.Load(usedRatio, (double) routers * state.unreadTokens(),
-						slowdown(state, nowMs), state.avoided(nowMs));
+						slowdown(state, nowMs), avoided(state, nowMs));
 				candidates.add(PathCosts.rate(profile, engine(state, kind), load, criteria.tokens()));
 			}
 		}
 		return candidates;
 	}
 
-	private boolean withinLimit(UpstreamState state) {
-		return this.limits.allows(state.incarnation());
+	private boolean mayStartAt(String upstream) {
+		return !this.admission.availability().backingOff(upstream) && this.admission.limits().allows(upstream);
+	}
+
+	private boolean avoided(UpstreamState state, long nowMs) {
+		return state.avoided(nowMs) || this.admission.availability().backingOff(state.incarnation());
+	}
+
+	/**
+	 * Returns when an attempt may start at any upstream of a service, as far as upstreams
+	 * requested not to be called.
+	 * @param service the service
+	 * @return milliseconds from now; 0 if backoffs prevent no attempt
+	 */
+	long backoffMs(RoutedService service) {
+		List<UpstreamState> starts = new ArrayList<>(this.directory.active(service.name()));
+		if (service.chained()) {
+			starts.removeIf((state) -> state.upstream().held() == null || state.upstream().held().first() > 0);
+		}
+		return this.admission.availability().backoffMs(starts);
 	}
 
 	private double slowdown(UpstreamState state, long nowMs) {
@@ -179,6 +197,15 @@
 		return new Target(first.upstream(), path);
 	}
 
+	/**
+	 * What upstreams allow this router to send them.
+	 *
+	 * @param limits the limits that upstreams report
+	 * @param availability the backoffs that upstreams request
+	 */
+	record Admission(UpstreamLimits limits, UpstreamAvailability availability) {
+	}
+
 	/**
 	 * The selection criteria of an attempt. Immutable.
 	 *
--- a/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamAvailability.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamAvailability.java
@@ -10,10 +10,11 @@
  * Applies what upstreams state about themselves in their answers to requests, status
  * queries and orders.
  * <p>
- * Invariant: until the end of the backoff that an upstream requested, this router sends
- * it nothing; a path of engines that begins elsewhere passes through it only if there is
- * no other path. An upstream requests a backoff from one router, so it is not reported to
- * peers. Confined to the event loop.
+ * Invariants: an upstream that stated that it leaves gets no new requests, however long
+ * the list shows it as ready. Until the end of the backoff that an upstream requested,
+ * this router sends it nothing; a path of engines that begins elsewhere passes through it
+ * only if there is no other path. An upstream requests a backoff from one router, so it
+ * is not reported to peers. Confined to the event loop.
  */
 final class UpstreamAvailability {
 
@@ -21,14 +22,18 @@
 
 	private final RouterContext router;
 
+	private final Runnable leavingListener;
+
 	private final RequestedBackoffs backoffs = new RequestedBackoffs();
 
 	/**
 	 * Creates a table without backoffs.
-	 * @param router the clock
+	 * @param router the clock and the directory
+	 * @param leavingListener is run when an upstream is found to leave
 	 */
-	UpstreamAvailability(RouterContext router) {
+	UpstreamAvailability(RouterContext router, Runnable leavingListener) {
 		this.router = router;
+		this.leavingListener = leavingListener;
 	}
 
 	/**
@@ -38,6 +43,12 @@
 	 * @param notice what the upstream states about itself
 	 */
 	void answered(Upstream upstream, int status, UpstreamNotice notice) {
+		if (notice.leaving() && this.router.directory().markLeaving(upstream.incarnation())) {
+			logger.atInfo()
+				.log("event=upstream-leaving upstream=%s address=%s status=%d", upstream.incarnation(),
+						upstream.address(), status);
+			this.leavingListener.run();
+		}
 		long backoffMs = notice.backoffMs(status);
 		if (this.backoffs.request(upstream.incarnation(), backoffMs, this.router.nowMs())) {
 			logger.atInfo()
--- a/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamConnection.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamConnection.java
@@ -131,25 +131,35 @@
 			fail("invalid response: " + object.decoderResult().cause().getMessage(), false);
 			return;
 		}
+		UpstreamHead head = (object instanceof HttpResponse response) ? decodeHead(response) : null;
 		if (this.listener == null) {
 			logger.atWarning().log("event=surplus upstream=%s address=%s", this.upstream.id(), this.upstream.address());
 			this.channel.close();
 			return;
 		}
 		if (object instanceof HttpResponse response) {
-			readHead(response);
+			readHead(response, head);
 		}
 		if (object instanceof HttpContent content) {
 			readContent(content);
 		}
 	}
 
-	private void readHead(HttpResponse response) {
+	// Returns null for an interim response, which precedes the answer.
+	private UpstreamHead decodeHead(HttpResponse response) {
 		if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+			return null;
+		}
+		UpstreamHead head = this.dialect.upstreamHead(response);
+		this.pool.answered(this.upstream, head);
+		return head;
+	}
+
+	private void readHead(HttpResponse response, UpstreamHead head) {
+		if (head == null) {
 			this.skipping = true;
 			return;
 		}
-		UpstreamHead head = this.dialect.upstreamHead(response);
 		if (!this.requestId.equals(head.requestId())) {
 			logger.atWarning()
 				.log("event=foreign-answer request=%s answers=%s upstream=%s", this.requestId, head.requestId(),
--- a/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamDirectory.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamDirectory.java
@@ -25,8 +25,9 @@
  * numbered from a wrong number.
  * <p>
  * Invariants: only the latest known incarnation of each name is present, and it shares no
- * state with an earlier one; an address resolves to the upstream of the service that was
- * listed with it last. Confined to the event loop.
+ * state with an earlier one; an incarnation that stated that it leaves is not active any
+ * more, whatever the list shows; an address resolves to the upstream of the service that
+ * was listed with it last. Confined to the event loop.
  */
 final class UpstreamDirectory {
 
@@ -49,6 +50,9 @@
 	/** Incarnations whose entries were removed, oldest first. */
 	private final Set<String> gone = boundedSet();
 
+	/** Incarnations that stated that they leave, oldest first. */
+	private final Set<String> statedLeaving = boundedSet();
+
 	private final Consumer<Upstream> departureListener;
 
 	/**
@@ -155,7 +159,7 @@
 	}
 
 	private void add(Upstream upstream) {
-		UpstreamState state = new UpstreamState(upstream);
+		UpstreamState state = new UpstreamState(upstream, this.statedLeaving.contains(upstream.incarnation()));
 		this.gone.remove(upstream.incarnation());
 		this.byId.put(upstream.id(), state);
 		this.byIncarnation.put(upstream.incarnation(), state);
@@ -163,7 +167,7 @@
 	}
 
 	private void update(UpstreamState state, Upstream newer) {
-		boolean leftNow = newer.leaving() && !state.upstream().leaving();
+		boolean leftNow = newer.leaving() && !state.leaving();
 		this.byAddress.remove(addressKey(state.upstream()), state);
 		state.update(newer);
 		this.byAddress.put(addressKey(newer), state);
@@ -191,6 +195,23 @@
 		}
 	}
 
+	/**
+	 * Records that an upstream stated itself that it leaves. A list entry that says
+	 * otherwise was written before.
+	 * @param incarnation the incarnation
+	 * @return whether this was not known before, from the list or the upstream
+	 */
+	boolean markLeaving(String incarnation) {
+		boolean added = this.statedLeaving.add(incarnation);
+		UpstreamState state = this.byIncarnation.get(incarnation);
+		if (!added || state == null || state.leaving()) {
+			return false;
+		}
+		state.stateLeaving();
+		this.departureListener.accept(state.upstream());
+		return true;
+	}
+
 	/**
 	 * Compares the incarnation in a report with the one that was queried, and adds a new
 	 * incarnation if the report is the first sign of it.
@@ -263,7 +284,7 @@
 	Collection<UpstreamState> active(String service) {
 		List<UpstreamState> active = new ArrayList<>();
 		for (UpstreamState state : this.byId.values()) {
-			if (state.upstream().service().equals(service) && !state.upstream().leaving()) {
+			if (state.upstream().service().equals(service) && !state.leaving()) {
 				active.add(state);
 			}
 		}
--- a/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamHead.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamHead.java
@@ -1,5 +1,7 @@
 package io.whinjunction.router;
 
+import io.whinjunction.availability.UpstreamNotice;
+
 /**
  * The decoded head of an upstream's response. Immutable.
  *
--- a/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamPool.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamPool.java
@@ -56,12 +56,22 @@
 
 	private final Ticker ticker;
 
+	private final UpstreamAvailability availability;
+
 	private final Map<String, Deque<UpstreamConnection>> idle = new HashMap<>();
 
-	UpstreamPool(EventLoop loop, Dialect dialect, Ticker ticker) {
+	/**
+	 * Creates an empty pool.
+	 * @param loop the event loop of all connections
+	 * @param dialect the names on the wire
+	 * @param ticker the clock
+	 * @param availability receives the head of each answer
+	 */
+	UpstreamPool(EventLoop loop, Dialect dialect, Ticker ticker, UpstreamAvailability availability) {
 		this.loop = loop;
 		this.dialect = dialect;
 		this.ticker = ticker;
+		this.availability = availability;
 	}
 
 	/**
@@ -79,6 +89,16 @@
 		connect(upstream, done);
 	}
 
+	/**
+	 * Processes the head of an answer, also of one that is surplus or belongs to another
+	 * request: it comes from the same upstream.
+	 * @param upstream the upstream
+	 * @param head the head
+	 */
+	void answered(Upstream upstream, UpstreamHead head) {
+		this.availability.answered(upstream, head.status(), head.notice());
+	}
+
 	void release(UpstreamConnection connection) {
 		connection.idleSince(this.ticker.nowMs());
 		this.idle.computeIfAbsent(connection.upstream().incarnation(), (id) -> new ArrayDeque<>()).push(connection);
--- a/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamState.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamState.java
@@ -2,8 +2,8 @@
 
 /**
  * The state that this process tracks for one upstream in addition to its list entry: its
- * own work there, and whether the upstream is currently avoided. Confined to the event
- * loop.
+ * own work there, whether the upstream itself stated that it leaves, and whether it is
+ * currently avoided. Confined to the event loop.
  */
 final class UpstreamState {
 
@@ -12,6 +12,8 @@
 
 	private Upstream upstream;
 
+	private boolean statedLeaving;
+
 	private int requests;
 
 	private long tokenLayers;
@@ -20,9 +22,15 @@
 
 	private long avoidedUntilMs = Long.MIN_VALUE;
 
-	UpstreamState(Upstream upstream) {
+	/**
+	 * Creates the state of an upstream without work.
+	 * @param upstream its list entry
+	 * @param statedLeaving whether this incarnation stated that it leaves
+	 */
+	UpstreamState(Upstream upstream, boolean statedLeaving) {
 		this.upstream = upstream;
 		this.incarnation = upstream.incarnation();
+		this.statedLeaving = statedLeaving;
 	}
 
 	Upstream upstream() {
@@ -37,6 +45,18 @@
 		return this.incarnation;
 	}
 
+	/**
+	 * Returns whether the upstream accepts no new requests.
+	 * @return whether the list shows it as leaving, or it stated so itself
+	 */
+	boolean leaving() {
+		return this.statedLeaving || this.upstream.leaving();
+	}
+
+	void stateLeaving() {
+		this.statedLeaving = true;
+	}
+
 	/**
 	 * Replaces the list entry by a newer one of the same incarnation.
 	 * @param newer the new entry
--- a/whinjunction-router/src/test/java/io/whinjunction/router/UpstreamLimitsTests.java
+++ b/whinjunction-router/src/test/java/io/whinjunction/router/UpstreamLimitsTests.java
@@ -7,6 +7,7 @@
 import java.util.Random;
 import java.util.stream.IntStream;
 
+import io.whinjunction.availability.UpstreamNotice;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
