Entry and controller keep an upstream's Retry-After and its leaving notice too

The same cause in the other two places that send to upstreams: the entry passed a plain upstream's 503 on and called it again at once, sent steps and status queries to an engine that had asked for a pause, and the controller queried and ordered it every period. Its callers were told to come back after a second while the only upstream wanted nothing.

UpstreamTable takes the head of each answer (Retry-After; whin-leaving in the entry's own names) and the chooser leaves such upstreams out, also as a last resort. A refusal names the time until the first one takes work. Status queries wait; the last report stands, so that an engine's layers are not loaded elsewhere. A draft under way goes on: an engine that turns its next step away ends that attempt as before.

--- a/whinjunction-controller/src/main/java/io/whinjunction/controller/Controller.java
+++ b/whinjunction-controller/src/main/java/io/whinjunction/controller/Controller.java
@@ -1,10 +1,13 @@
 package io.whinjunction.controller;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.UUID;
 
 import com.google.common.flogger.FluentLogger;
+import io.whinjunction.availability.RequestedBackoffs;
 import io.whinjunction.configuration.ConfigurationHolder;
 import io.whinjunction.configuration.Json;
 import io.whinjunction.configuration.Manifest;
@@ -37,7 +40,9 @@
  * <p>
  * Invariant: an order is issued only while this process holds the lease according to its
  * own clock, and never after {@link #close()}. Each order carries the fencing number of
- * the lease. Planning and issuing run on one thread; the operator port only reads state.
+ * the lease. An engine that requested a backoff is neither queried nor given an order
+ * until its end. Planning and issuing run on one thread; the operator port only reads
+ * state.
  */
 public final class Controller implements AutoCloseable {
 
@@ -67,6 +72,12 @@
 
 	private final ClaimSweeper sweeper;
 
+	/** By the address of the engine. */
+	private final RequestedBackoffs backoffs = new RequestedBackoffs();
+
+	/** The last report of each listed engine, by its instance id. */
+	private final Map<String, EngineReport> reports = new HashMap<>();
+
 	private final Thread loop;
 
 	private long lastSweepMs;
@@ -81,7 +92,8 @@
 		this.settings = settings;
 		HttpCaller caller = this.closer.register(new HttpCaller(CONNECT_MS, IDLE_CONNECTION_MS));
 		this.store = new HttpObjectStore(caller, settings.platform(), settings.platformMs());
-		this.engines = new HttpEngineClient(caller);
+		this.engines = new HttpEngineClient(caller, (address, status, notice) -> this.backoffs.request(address,
+				notice.backoffMs(status), this.ticker.nowMs()));
 		this.lease = new LeaderElector(this.store, LEASE_KEY, settings.id(), settings.leaseMs(), this.ticker,
 				() -> UUID.randomUUID().toString());
 		this.sweeper = new ClaimSweeper(this.store, settings.claimsKeptS(), () -> System.currentTimeMillis() / 1000);
@@ -149,13 +161,14 @@
 			// layers.
 			return;
 		}
+		this.reports.keySet().retainAll(listed.instances().stream().map(Instance::id).toList());
 		List<Upstream> upstreams = new ArrayList<>();
 		int loading = 0;
 		for (Instance instance : listed.instances()) {
 			if (!(this.configuration.configuration().services().get(instance.service()) instanceof Service.Model)) {
 				continue;
 			}
-			EngineReport report = this.engines.report(instance.address());
+			EngineReport report = report(instance);
 			if (report == null) {
 				continue;
 			}
@@ -170,8 +183,31 @@
 		}
 	}
 
+	// The layers of an engine that requested a backoff are still there: without its last
+	// report they would be loaded elsewhere.
+	private EngineReport report(Instance instance) {
+		if (!backingOff(instance.address())) {
+			EngineReport report = this.engines.report(instance.address());
+			if (report != null) {
+				this.reports.put(instance.id(), report);
+			}
+			if (!backingOff(instance.address())) {
+				return report;
+			}
+		}
+		return this.reports.get(instance.id());
+	}
+
+	private boolean backingOff(String address) {
+		return this.backoffs.active(address, this.ticker.nowMs());
+	}
+
 	private void issueOrder(Move move) {
 		Upstream upstream = move.upstream();
+		if (backingOff(upstream.address())) {
+			logger.atInfo().log("no order to %s, which requested a backoff", upstream.id());
+			return;
+		}
 		// Checked immediately before sending: the lease may have expired during the calls
 		// before, and a stop interrupts them. Nobody would read the reply to an order
 		// sent then: it would be logged as not accepted although the engine drops its
--- a/whinjunction-core/src/main/java/io/whinjunction/engine/EngineClient.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/engine/EngineClient.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 
+import io.whinjunction.availability.UpstreamNotice;
 import io.whinjunction.configuration.LayerRange;
 
 /**
@@ -41,6 +42,20 @@
 	 */
 	boolean order(String address, LoadOrder order);
 
+	/** Receives the heads of answers, on the thread of the call. */
+	@FunctionalInterface
+	interface AnswerListener {
+
+		/**
+		 * Called with the head of any answer.
+		 * @param address the engine, {@code HOST:PORT}
+		 * @param status the status of the answer
+		 * @param notice what the engine states about itself
+		 */
+		void answered(String address, int status, UpstreamNotice notice);
+
+	}
+
 	/**
 	 * One step, identified completely so that an answer matches this step only.
 	 *
--- a/whinjunction-core/src/main/java/io/whinjunction/engine/HttpEngineClient.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/engine/HttpEngineClient.java
@@ -22,13 +22,21 @@
 
 	private final HttpCaller caller;
 
-	public HttpEngineClient(HttpCaller caller) {
+	private final AnswerListener listener;
+
+	/**
+	 * Creates a client.
+	 * @param caller makes the calls
+	 * @param listener receives the head of each answer
+	 */
+	public HttpEngineClient(HttpCaller caller, AnswerListener listener) {
 		this.caller = caller;
+		this.listener = listener;
 	}
 
 	@Override
 	public StepResult step(String address, Step step, long timeoutMs) {
-		CallResult result = this.caller.call(Call.json("POST", address, "/steps", encode(step), timeoutMs));
+		CallResult result = call(Call.json("POST", address, "/steps", encode(step), timeoutMs));
 		return switch (result) {
 			case CallResult.Response response when response.status() == 200 -> decode(response);
 			case CallResult.Response response when response.status() < 500 -> new StepResult.Refused(response.text());
@@ -40,12 +48,12 @@
 
 	@Override
 	public void cancel(String address, String stream) {
-		this.caller.call(Call.json("DELETE", address, "/streams/" + stream, "", CONTROL_TIMEOUT_MS));
+		call(Call.json("DELETE", address, "/streams/" + stream, "", CONTROL_TIMEOUT_MS));
 	}
 
 	@Override
 	public EngineReport report(String address) {
-		CallResult result = this.caller.call(Call.fetch(address, "/report", CONTROL_TIMEOUT_MS));
+		CallResult result = call(Call.fetch(address, "/report", CONTROL_TIMEOUT_MS));
 		if (!(result instanceof CallResult.Response response) || response.status() != 200) {
 			return null;
 		}
@@ -68,11 +76,18 @@
 		node.put("range", order.range().toString());
 		node.put("generation", order.generation());
 		node.put("fencing", order.fencing());
-		CallResult result = this.caller
-			.call(Call.json("POST", address, "/orders", node.toString(), CONTROL_TIMEOUT_MS));
+		CallResult result = call(Call.json("POST", address, "/orders", node.toString(), CONTROL_TIMEOUT_MS));
 		return result instanceof CallResult.Response response && response.status() == 200;
 	}
 
+	private CallResult call(Call call) {
+		CallResult result = this.caller.call(call);
+		if (result instanceof CallResult.Response response) {
+			this.listener.answered(call.address(), response.status(), response.notice());
+		}
+		return result;
+	}
+
 	private static String encode(Step step) {
 		ObjectNode node = Json.object();
 		node.put("stream", step.stream());
--- a/whinjunction-core/src/main/java/io/whinjunction/http/CallResult.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/http/CallResult.java
@@ -4,6 +4,8 @@
 import java.util.List;
 import java.util.Map;
 
+import io.whinjunction.availability.UpstreamNotice;
+
 /**
  * The result of an outgoing call. Immutable.
  */
@@ -18,6 +20,9 @@
 	 */
 	record Response(int status, List<Map.Entry<String, String>> headers, byte[] body) implements CallResult {
 
+		/** The header by which an upstream states that it leaves: {@code 1}. */
+		public static final String LEAVING = "whin-leaving";
+
 		/**
 		 * Returns the body decoded as UTF-8.
 		 * @return the text
@@ -26,6 +31,29 @@
 			return new String(this.body, StandardCharsets.UTF_8);
 		}
 
+		/**
+		 * Returns what the other side states about itself in the headers of this system
+		 * and the standard ones.
+		 * @return the notice
+		 */
+		public UpstreamNotice notice() {
+			return UpstreamNotice.of(header(LEAVING), header("retry-after"));
+		}
+
+		/**
+		 * Returns the first value of a header.
+		 * @param name the name, in any case
+		 * @return the value, or {@code null} if the response has no such header
+		 */
+		public String header(String name) {
+			for (Map.Entry<String, String> header : this.headers) {
+				if (header.getKey().equalsIgnoreCase(name)) {
+					return header.getValue();
+				}
+			}
+			return null;
+		}
+
 	}
 
 	/**
--- a/whinjunction-core/src/main/java/io/whinjunction/pipeline/PipelineChooser.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/pipeline/PipelineChooser.java
@@ -14,8 +14,9 @@
 /**
  * Chooses the upstreams of a request.
  * <p>
- * Invariant: no upstream outside the team's permitted places is ever chosen, whatever
- * other preferences apply. Thread-safe if the random source is.
+ * Invariants: no upstream outside the team's permitted places is ever chosen, whatever
+ * other preferences apply, and none during a backoff that it requested. Thread-safe if
+ * the random source is.
  */
 public final class PipelineChooser {
 
@@ -84,14 +85,14 @@
 			}
 		}
 		if (permitted.isEmpty()) {
-			return holders.isEmpty() ? new Choice.NoneAlive(what) : new Choice.NonePermitted(what);
+			return holders.isEmpty() ? new Choice.NoneAlive(what, 0) : new Choice.NonePermitted(what);
 		}
 		List<Upstream> usable = usable(sample(permitted, count), avoided);
 		if (usable.isEmpty() && count > SAMPLE_SIZE) {
 			usable = usable(all(permitted), avoided);
 		}
 		if (usable.isEmpty()) {
-			return new Choice.NoneAlive(what);
+			return new Choice.NoneAlive(what, backoffMs(all(permitted)));
 		}
 		return new Choice.Chosen(new Pipeline(List.of(this.policy.choose(usable, this.table, this.random))));
 	}
@@ -124,7 +125,7 @@
 		List<Upstream> usable = new ArrayList<>(permitted.size());
 		List<Upstream> paused = new ArrayList<>();
 		for (Upstream upstream : permitted) {
-			if (avoided.contains(upstream.id())) {
+			if (avoided.contains(upstream.id()) || this.table.backoffMs(upstream.id(), nowMs) > 0) {
 				continue;
 			}
 			if (this.table.load(upstream.id()).backingOff(nowMs)) {
@@ -138,6 +139,11 @@
 		return usable.isEmpty() ? paused : usable;
 	}
 
+	private long backoffMs(List<Upstream> upstreams) {
+		long nowMs = this.ticker.nowMs();
+		return upstreams.stream().mapToLong((upstream) -> this.table.backoffMs(upstream.id(), nowMs)).min().orElse(0);
+	}
+
 	/** Result of choosing. */
 	public sealed interface Choice {
 
@@ -158,11 +164,24 @@
 		}
 
 		/**
-		 * No permitted upstream is alive.
+		 * No permitted upstream is alive and takes work.
 		 *
 		 * @param what the missing layers or service
+		 * @param backoffMs when the first of them takes work again if all requested a
+		 * backoff, in milliseconds from now; 0 otherwise
 		 */
-		record NoneAlive(String what) implements Choice {
+		record NoneAlive(String what, long backoffMs) implements Choice {
+
+			/**
+			 * Returns when a caller may come back.
+			 * @param defaultS the time if no backoff is the cause, in seconds
+			 * @return seconds, not before the first upstream takes work
+			 */
+			public int retryAfterS(int defaultS) {
+				long backoffS = Math.ceilDiv(this.backoffMs, 1000L);
+				return (int) Math.max(defaultS, Math.min(backoffS, Integer.MAX_VALUE));
+			}
+
 		}
 
 	}
--- a/whinjunction-core/src/main/java/io/whinjunction/pipeline/UpstreamTable.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/pipeline/UpstreamTable.java
@@ -6,17 +6,23 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 
+import com.google.common.flogger.FluentLogger;
+import io.whinjunction.availability.RequestedBackoffs;
+import io.whinjunction.availability.UpstreamNotice;
 import io.whinjunction.configuration.LayerRange;
 
 /**
  * The upstreams known to this entry, by service and layer range.
  * <p>
- * Invariant: an upstream that any source has reported as leaving takes no new work until
- * it returns with a new instance id; lagging sources cannot revert that. Readers see one
- * immutable snapshot; thread-safe.
+ * Invariants: an upstream that any source has reported as leaving takes no new work until
+ * it returns with a new instance id; lagging sources cannot revert that. An upstream that
+ * requested a backoff takes no new work until its end. Readers see one immutable
+ * snapshot; thread-safe.
  */
 public final class UpstreamTable {
 
+	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
 	/**
 	 * A lagging list may contain an instance that is gone, but not after this many lists.
 	 */
@@ -27,6 +33,8 @@
 	/** Leaving instances with the number of lists in which they have been missing. */
 	private final Map<String, Integer> leaving = new ConcurrentHashMap<>();
 
+	private final RequestedBackoffs backoffs = new RequestedBackoffs();
+
 	private volatile Snapshot snapshot = new Snapshot(Map.of(), Map.of());
 
 	/**
@@ -60,6 +68,52 @@
 		return added;
 	}
 
+	/**
+	 * Processes the head of any answer of an upstream.
+	 * @param id the instance
+	 * @param status the status of the answer
+	 * @param notice what the upstream states about itself
+	 * @param nowMs the current time
+	 */
+	public void answered(String id, int status, UpstreamNotice notice, long nowMs) {
+		if (notice.leaving() && markLeaving(id)) {
+			logger.atInfo().log("upstream %s states that it leaves, in an answer of status %d", id, status);
+		}
+		if (this.backoffs.request(id, notice.backoffMs(status), nowMs)) {
+			logger.atInfo().log("upstream %s requests a backoff of %d ms", id, notice.backoffMs(status));
+		}
+	}
+
+	/**
+	 * Processes the head of any answer of an upstream that is known by its address.
+	 * Ignored if no upstream has the address.
+	 * @param address {@code HOST:PORT}
+	 * @param status the status of the answer
+	 * @param notice what the upstream states about itself
+	 * @param nowMs the current time
+	 */
+	public void answeredAt(String address, int status, UpstreamNotice notice, long nowMs) {
+		// Nearly all answers state nothing, and looking for the address is slow.
+		if (!notice.leaving() && notice.backoffMs(status) == 0) {
+			return;
+		}
+		this.snapshot.byId()
+			.values()
+			.stream()
+			.filter((upstream) -> upstream.address().equals(address))
+			.forEach((upstream) -> answered(upstream.id(), status, notice, nowMs));
+	}
+
+	/**
+	 * Returns how long an upstream requests to get nothing.
+	 * @param id the instance
+	 * @param nowMs the current time
+	 * @return milliseconds from now; 0 if it takes work
+	 */
+	public long backoffMs(String id, long nowMs) {
+		return this.backoffs.remainingMs(id, nowMs);
+	}
+
 	/**
 	 * Returns the instances known to be leaving.
 	 * @return their ids
--- a/whinjunction-core/src/main/java/io/whinjunction/session/DraftSession.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/session/DraftSession.java
@@ -297,8 +297,9 @@
 		return switch (choice) {
 			case Choice.NonePermitted none -> unsuccessful(Code.PLACE_NOT_PERMITTED,
 					"No place permitted for team '" + this.placement.team().name() + "' holds " + none.what() + ".");
-			case Choice.NoneAlive none ->
-				unsuccessful(Code.NO_UPSTREAM, "No permitted upstream holds " + none.what() + " now.");
+			case Choice.NoneAlive none -> unsuccessful(Refusal.temporary(Code.NO_UPSTREAM,
+					"No permitted upstream holds " + none.what() + " and takes work now.",
+					none.retryAfterS(RETRY_AFTER_S)));
 			case Choice.Chosen chosen -> throw new IllegalStateException("chosen: " + chosen);
 		};
 	}
@@ -306,6 +307,10 @@
 	private Outcome unsuccessful(Code code, String sentence) {
 		Refusal refusal = (code == Code.PLACE_NOT_PERMITTED) ? Refusal.permanent(code, sentence)
 				: Refusal.temporary(code, sentence, RETRY_AFTER_S);
+		return unsuccessful(refusal);
+	}
+
+	private Outcome unsuccessful(Refusal refusal) {
 		return this.contacted.isEmpty() ? new Outcome.NotRun(refusal) : new Outcome.Unknown(refusal);
 	}
 
--- a/whinjunction-entry/src/main/java/io/whinjunction/entry/Entry.java
+++ b/whinjunction-entry/src/main/java/io/whinjunction/entry/Entry.java
@@ -130,7 +130,8 @@
 				settings.failureDomain(), incarnation, Member.Status.ALIVE), settings.timing().suspicionMs());
 		HttpCaller caller = this.closer.register(new HttpCaller(CONNECT_MS, IDLE_CONNECTION_MS));
 		ObjectStore store = new HttpObjectStore(caller, settings.platform(), settings.timing().platformMs());
-		HttpEngineClient engines = new HttpEngineClient(caller);
+		HttpEngineClient engines = new HttpEngineClient(caller,
+				(address, status, notice) -> upstreams.answeredAt(address, status, notice, this.ticker.nowMs()));
 		ActionClaims claims = new ActionClaims(store, () -> UUID.randomUUID().toString(),
 				() -> System.currentTimeMillis() / 1000);
 		Gate gate = new Gate(configuration, freshness, settings.failureDomain(), this.ticker);
@@ -149,7 +150,7 @@
 		this.closer.register(PeerServer.start(transport, settings.host(), settings.peerPort(), node));
 		this.pauseDetector = new PauseDetector(ticker.nowMs(), MAX_RUN_NOTE_INTERVAL_MS);
 		startLoops(new ConfigurationWatcher(store, configuration, freshness, this.ticker, settings.timing().watchMs()),
-				new UpstreamPoller(store, engines, configuration, upstreams), node);
+				new UpstreamPoller(store, engines, configuration, upstreams, this.ticker), node);
 		this.callers = this.closer.register(HttpServer.start(
 				new HttpServerSettings(settings.host(), settings.callerPort(), settings.limits().bodyBytes(),
 						settings.limits().headerBytes(), settings.timing().requestMs(), callerTls(tls)),
--- a/whinjunction-entry/src/main/java/io/whinjunction/entry/ServiceHandler.java
+++ b/whinjunction-entry/src/main/java/io/whinjunction/entry/ServiceHandler.java
@@ -49,7 +49,8 @@
 	 */
 	private static final Set<String> NOT_FORWARDED = Set.of("connection", "keep-alive", "proxy-authenticate",
 			"proxy-authorization", "te", "trailer", "transfer-encoding", "upgrade", "host", "content-length",
-			"authorization", "expect", "http2-settings", "traceparent", ErrorReplies.OUTCOME, ErrorReplies.REQUEST_ID);
+			"authorization", "expect", "http2-settings", "traceparent", ErrorReplies.OUTCOME, ErrorReplies.REQUEST_ID,
+			CallResult.Response.LEAVING);
 
 	private final EntryContext context;
 
@@ -206,8 +207,9 @@
 		}
 		long tookMs = this.context.ticker().nowMs() - startMs;
 		boolean succeeded = result instanceof CallResult.Response;
-		if (succeeded) {
+		if (result instanceof CallResult.Response response) {
 			load.succeeded(tookMs);
+			this.context.upstreams().answered(upstream.id(), response.status(), response.notice(), startMs + tookMs);
 		}
 		else {
 			load.failed(this.context.ticker().nowMs());
@@ -245,12 +247,15 @@
 	}
 
 	private static Refusal refusal(PendingCall call, Choice choice) {
-		return (choice instanceof Choice.NonePermitted)
-				? Refusal.permanent(Code.PLACE_NOT_PERMITTED,
-						"No place permitted for team '" + call.passed.team().name() + "' has '" + call.service.name()
-								+ "'.")
-				: Refusal.temporary(Code.NO_UPSTREAM,
-						"No permitted upstream of '" + call.service.name() + "' is alive.", RETRY_AFTER_S);
+		return switch (choice) {
+			case Choice.NonePermitted ignored ->
+				Refusal.permanent(Code.PLACE_NOT_PERMITTED, "No place permitted for team '" + call.passed.team().name()
+						+ "' has '" + call.service.name() + "'.");
+			case Choice.NoneAlive none -> Refusal.temporary(Code.NO_UPSTREAM,
+					"No permitted upstream of '" + call.service.name() + "' is alive and takes work.",
+					none.retryAfterS(RETRY_AFTER_S));
+			case Choice.Chosen chosen -> throw new IllegalStateException("chosen: " + chosen);
+		};
 	}
 
 	private static List<Map.Entry<String, String>> passed(List<Map.Entry<String, String>> headers) {
--- a/whinjunction-entry/src/main/java/io/whinjunction/entry/UpstreamPoller.java
+++ b/whinjunction-entry/src/main/java/io/whinjunction/entry/UpstreamPoller.java
@@ -17,6 +17,7 @@
 import io.whinjunction.platform.ObjectStore;
 import io.whinjunction.platform.ObjectStore.Instance;
 import io.whinjunction.platform.ObjectStore.Instances;
+import io.whinjunction.time.Ticker;
 
 /**
  * Updates the table of upstreams from the instance list of the platform and the reports
@@ -24,7 +25,8 @@
  * <p>
  * Invariant: while the platform is unavailable the last list stays in use, and engines
  * are still queried. An engine that does not respond keeps its last report, since only a
- * failed step proves that it is dead. Confined to one thread.
+ * failed step proves that it is dead; one that requested a backoff is not queried until
+ * its end and keeps its report too. Confined to one thread.
  */
 final class UpstreamPoller {
 
@@ -36,15 +38,19 @@
 
 	private final UpstreamTable table;
 
+	private final Ticker ticker;
+
 	private final Map<String, EngineReport> reports = new ConcurrentHashMap<>();
 
 	private List<Instance> instances = List.of();
 
-	UpstreamPoller(ObjectStore store, EngineClient engines, ConfigurationHolder configuration, UpstreamTable table) {
+	UpstreamPoller(ObjectStore store, EngineClient engines, ConfigurationHolder configuration, UpstreamTable table,
+			Ticker ticker) {
 		this.store = store;
 		this.engines = engines;
 		this.configuration = configuration;
 		this.table = table;
+		this.ticker = ticker;
 	}
 
 	/**
@@ -70,7 +76,8 @@
 		this.reports.keySet().retainAll(this.instances.stream().map(Instance::id).toList());
 		try (ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor()) {
 			for (Instance instance : this.instances) {
-				if (current.services().get(instance.service()) instanceof Service.Model) {
+				if (current.services().get(instance.service()) instanceof Service.Model
+						&& this.table.backoffMs(instance.id(), this.ticker.nowMs()) == 0) {
 					executor.execute(() -> {
 						EngineReport report = this.engines.report(instance.address());
 						if (report != null) {
