--- a/whinjunction-core/src/main/java/io/whinjunction/availability/RequestedBackoffs.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/availability/RequestedBackoffs.java
@@ -8,7 +8,7 @@
  * <p>
  * Invariants: a backoff ends at the latest time that the upstream named in any of its
  * answers, since answers to requests that were under way together arrive in any order; a
- * success in between does not end it. Only running backoffs are kept. Thread-safe.
+ * success in between does not end it. Thread-safe.
  */
 public final class RequestedBackoffs {
 
@@ -22,7 +22,7 @@
 	 * @return whether the upstream was not in a backoff before, and is now
 	 */
 	public boolean request(String upstream, long durationMs, long nowMs) {
-		this.endMs.values().removeIf((end) -> end <= nowMs);
+		removeExpired(nowMs);
 		if (durationMs <= 0) {
 			return false;
 		}
@@ -54,12 +54,20 @@
 	}
 
 	/**
-	 * Returns the number of upstreams that are not to be called.
+	 * Drops the backoffs that are over.
 	 * @param nowMs the current time
+	 */
+	public void removeExpired(long nowMs) {
+		this.endMs.values().removeIf((end) -> end <= nowMs);
+	}
+
+	/**
+	 * Returns the number of backoffs, including those that ended since
+	 * {@link #removeExpired}.
 	 * @return the number
 	 */
-	public int count(long nowMs) {
-		return (int) this.endMs.values().stream().filter((end) -> end > nowMs).count();
+	public int count() {
+		return this.endMs.size();
 	}
 
 }
--- a/whinjunction-router/src/main/java/io/whinjunction/router/Router.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/Router.java
@@ -363,6 +363,7 @@
 		this.pool.sweep();
 		this.crashGuard.sweep();
 		this.limits.sweep();
+		this.availability.sweep();
 		long idleMs = (configuration() != null) ? configuration().limits().idleTimeoutMs()
 				: CallerLimits.DEFAULT.idleTimeoutMs();
 		long nowMs = nowMs();
--- a/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamAvailability.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamAvailability.java
@@ -63,7 +63,8 @@
 	 * @return {@code true} until the backoff ends
 	 */
 	boolean backingOff(String upstream) {
-		return this.backoffs.active(upstream, this.router.nowMs());
+		// Nearly always there is none, and each choice of a path asks for each engine.
+		return this.backoffs.count() > 0 && this.backoffs.active(upstream, this.router.nowMs());
 	}
 
 	/**
@@ -79,12 +80,17 @@
 			.orElse(0);
 	}
 
+	/** Drops the backoffs that are over. */
+	void sweep() {
+		this.backoffs.removeExpired(this.router.nowMs());
+	}
+
 	/**
 	 * Returns the number of upstreams that requested not to be called now.
-	 * @return the number
+	 * @return the number as of the last sweep
 	 */
 	int backingOffCount() {
-		return this.backoffs.count(this.router.nowMs());
+		return this.backoffs.count();
 	}
 
 }
