An order that an engine turned away with Retry-After is given again after it

An engine that answered an order with 503 counted as loading until the order's time was up, half a minute for a whole model, and nobody else was ordered to hold its layers.

--- a/whinjunction-router/src/main/java/io/whinjunction/router/LayerReconciler.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/LayerReconciler.java
@@ -65,6 +65,15 @@
 	 */
 	private static final long SETTLE_MS = 1500;
 
+	/** The reason of an order that is dropped because its engine is another one now. */
+	private static final String GONE = "restarted-or-gone";
+
+	/**
+	 * The reason of an order that is dropped because its engine leaves or requested a
+	 * backoff.
+	 */
+	private static final String NOT_ACCEPTING = "leaving-or-backoff";
+
 	/** The time limit for the status query before an order, in milliseconds. */
 	private static final long STATUS_TIMEOUT_MS = 600;
 
@@ -259,22 +268,21 @@
 		Engine engine = placement.engine();
 		UpstreamState planned = this.router.directory().find(engine.id());
 		if (planned == null || !acceptsOrders(engine.id())) {
-			logDropped(engine, "gone-or-backoff");
+			logDropped(engine, (planned != null) ? NOT_ACCEPTING : GONE);
 			return;
 		}
 		this.pendingOrders.put(engine.id(), new PendingOrder(placement.layers(), this.router.nowMs()));
 		this.engines.queryStatus(planned.upstream(), STATUS_TIMEOUT_MS, (report) -> {
 			UpstreamState state = this.router.directory().find(engine.id());
 			if (!acceptsOrders(engine.id())) {
-				// Planned again once the engine accepts orders.
 				this.pendingOrders.remove(engine.id());
-				logDropped(engine, "leaving-or-backoff");
+				logDropped(engine, NOT_ACCEPTING);
 			}
 			else if (state == null || (report.isPresent()
 					&& !this.router.directory().confirmIncarnation(state.upstream(), report.get()))) {
 				// The engine has restarted: it counts its orders from zero and holds
 				// none of the layers that the plan was based on.
-				logDropped(engine, "restarted-or-gone");
+				logDropped(engine, GONE);
 			}
 			else if (report.isEmpty()) {
 				logDropped(engine, "no-report");
@@ -302,6 +310,10 @@
 		logger.atInfo()
 			.log("event=order engine=%s domain=%s layers=%s fencing=%d expected=%d reply=\"%s\"", engine.incarnation(),
 					engine.failureDomain(), order.layers(), order.fencing(), order.expectedOrders(), reply);
+		if (!acceptsOrders(engine.incarnation())) {
+			// Planned again once the engine accepts orders.
+			this.pendingOrders.remove(engine.incarnation());
+		}
 		if (reply instanceof OrderReply.Fenced) {
 			this.leadership.fenced();
 		}
