Log what prevents another attempt of a request

A request that ends without a further attempt was logged with the reason of its last attempt, whether the count of sends, the retry budget or the choice of an upstream ended it. The hypotheses of the incident could not be told apart. RetryDecision now carries the obstacle, event=request has it as no-retry, and event=no-target counts why no upstream can be chosen. No decision changes.

--- a/whinjunction-core/src/main/java/io/whinjunction/forward/RetryDecision.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/forward/RetryDecision.java
@@ -9,12 +9,20 @@
 	record Retry() implements RetryDecision {
 	}
 
-	/** The request has not run and never will; the response states when to retry. */
-	record Refuse() implements RetryDecision {
+	/**
+	 * The request has not run and never will; the response states when to retry.
+	 *
+	 * @param obstacle what prevents another attempt
+	 */
+	record Refuse(RetryObstacle obstacle) implements RetryDecision {
 	}
 
-	/** The request may have run; the response makes no claim about whether it did. */
-	record Fail() implements RetryDecision {
+	/**
+	 * The request may have run; the response makes no claim about whether it did.
+	 *
+	 * @param obstacle what prevents another attempt
+	 */
+	record Fail(RetryObstacle obstacle) implements RetryDecision {
 	}
 
 }
--- a/whinjunction-core/src/main/java/io/whinjunction/forward/RetryPolicy.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/forward/RetryPolicy.java
@@ -51,12 +51,23 @@
 	public static RetryDecision next(Route route, AttemptOutcome outcome, History history, long leftMs, Budget budget) {
 		boolean mayHaveRun = history.mayHaveRun() || outcome instanceof AttemptOutcome.Unknown
 				|| outcome instanceof AttemptOutcome.Failed;
-		boolean allowed = !mayHaveRun || route.repeatable();
-		boolean useful = leftMs >= MIN_ATTEMPT_MS;
-		if (allowed && useful && countsAllow(route, outcome, history) && granted(outcome, history, budget)) {
-			return new RetryDecision.Retry();
+		if (mayHaveRun && !route.repeatable()) {
+			return new RetryDecision.Fail(RetryObstacle.NOT_REPEATABLE);
 		}
-		return mayHaveRun ? new RetryDecision.Fail() : new RetryDecision.Refuse();
+		if (leftMs < MIN_ATTEMPT_MS) {
+			return end(mayHaveRun, RetryObstacle.NO_TIME);
+		}
+		if (!countsAllow(route, outcome, history)) {
+			return end(mayHaveRun, RetryObstacle.SENDS_USED);
+		}
+		if (!granted(outcome, history, budget)) {
+			return end(mayHaveRun, RetryObstacle.NO_BUDGET);
+		}
+		return new RetryDecision.Retry();
+	}
+
+	private static RetryDecision end(boolean mayHaveRun, RetryObstacle obstacle) {
+		return mayHaveRun ? new RetryDecision.Fail(obstacle) : new RetryDecision.Refuse(obstacle);
 	}
 
 	/**
--- a/whinjunction-core/src/test/java/io/whinjunction/forward/RetryPolicyTests.java
+++ b/whinjunction-core/src/test/java/io/whinjunction/forward/RetryPolicyTests.java
@@ -88,6 +88,23 @@
 			.isInstanceOf(RetryDecision.Refuse.class);
 	}
 
+	// Guards against a log that gives the same reason for different obstacles.
+	@Test
+	void aDecisionNamesWhatPreventsAnotherAttempt() {
+		AttemptOutcome lost = new AttemptOutcome.Unknown("x");
+		RetryPolicy.History once = new RetryPolicy.History(1, 0, false);
+		RetryPolicy.History thrice = new RetryPolicy.History(3, 0, false);
+
+		assertThat(RetryPolicy.next(route(RequestKind.NON_IDEMPOTENT, 2), lost, once, 1000, () -> true))
+			.isEqualTo(new RetryDecision.Fail(RetryObstacle.NOT_REPEATABLE));
+		assertThat(RetryPolicy.next(route(RequestKind.IDEMPOTENT, 2), lost, once, 1, () -> true))
+			.isEqualTo(new RetryDecision.Fail(RetryObstacle.NO_TIME));
+		assertThat(RetryPolicy.next(route(RequestKind.IDEMPOTENT, 2), lost, thrice, 1000, () -> true))
+			.isEqualTo(new RetryDecision.Fail(RetryObstacle.SENDS_USED));
+		assertThat(RetryPolicy.next(route(RequestKind.IDEMPOTENT, 2), lost, once, 1000, () -> false))
+			.isEqualTo(new RetryDecision.Fail(RetryObstacle.NO_BUDGET));
+	}
+
 	@Test
 	void aFirstSendAfterAnUnreachableUpstreamTakesNoBudget() {
 		RetryDecision next = RetryPolicy.next(route(RequestKind.NON_IDEMPOTENT, 1), new AttemptOutcome.NotSent("x"),
--- a/whinjunction-router/src/main/java/io/whinjunction/router/AttemptHistory.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/AttemptHistory.java
@@ -4,7 +4,6 @@
 import java.util.Set;
 
 import io.whinjunction.forward.AttemptOutcome;
-import io.whinjunction.forward.RetryDecision;
 import io.whinjunction.forward.RetryPolicy;
 
 /**
@@ -83,15 +82,6 @@
 		return this.mayHaveRun;
 	}
 
-	/**
-	 * Returns what the caller gets if there is no further attempt.
-	 * @param underWay whether an upstream has the request now
-	 * @return a refusal only if the request cannot have run
-	 */
-	RetryDecision finalStep(boolean underWay) {
-		return (this.mayHaveRun || underWay) ? new RetryDecision.Fail() : new RetryDecision.Refuse();
-	}
-
 	/**
 	 * Returns the counts by which the retry policy decides.
 	 * @return the counts
--- a/whinjunction-router/src/main/java/io/whinjunction/router/ForwardSession.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/ForwardSession.java
@@ -15,6 +15,7 @@
 import io.whinjunction.forward.CrashingRequests;
 import io.whinjunction.forward.RequestFingerprint;
 import io.whinjunction.forward.RetryDecision;
+import io.whinjunction.forward.RetryObstacle;
 import io.whinjunction.forward.RetryPolicy;
 import io.whinjunction.routing.RequestKind;
 import io.whinjunction.routing.Route;
@@ -93,6 +94,9 @@
 
 	private boolean done;
 
+	/** What prevented another attempt; {@code null} if nothing did. */
+	private RetryObstacle obstacle;
+
 	/**
 	 * Whether the request was sent although it crashes upstreams, to check whether it
 	 * still does.
@@ -193,7 +197,8 @@
 			onAnswerOverTime();
 			return;
 		}
-		if (finalStep() instanceof RetryDecision.Fail) {
+		this.obstacle = RetryObstacle.NO_TIME;
+		if (mayHaveRun()) {
 			finish("failed", "timeout", Answer.error(HttpResponseStatus.GATEWAY_TIMEOUT, "no answer came in time"));
 		}
 		else {
@@ -209,6 +214,7 @@
 			this.timeout = this.router.loop().schedule(this::onTimeout, leftMs, TimeUnit.MILLISECONDS);
 			return;
 		}
+		this.obstacle = RetryObstacle.NO_TIME;
 		end("broken", "deadline");
 		this.caller.abort();
 	}
@@ -221,7 +227,7 @@
 		if (this.done) {
 			return false;
 		}
-		giveUp(finalStep(), STOPPING);
+		giveUp(RetryObstacle.STOPPING, STOPPING);
 		return this.answerBegun;
 	}
 
@@ -229,7 +235,7 @@
 		this.fingerprint = RequestFingerprint.of(Objects.requireNonNullElse(teamName(), ""), this.request.method(),
 				this.request.host(), this.request.uri(), this.body.buffered().nioBuffer());
 		if (outlivesRouter()) {
-			giveUp(new RetryDecision.Refuse(), STOPPING);
+			giveUp(RetryObstacle.STOPPING, STOPPING);
 			return;
 		}
 		tryNext();
@@ -239,13 +245,13 @@
 		Optional<CrashingRequests.Refusal> crashing = this.router.crashGuard()
 			.refusal(this.request.id(), this.fingerprint);
 		if (crashing.isPresent()) {
-			giveUp(finalStep(), CRASHES_UPSTREAMS, crashing.get().retryAfterMs());
+			giveUp(RetryObstacle.CRASHES_UPSTREAMS, CRASHES_UPSTREAMS, crashing.get().retryAfterMs());
 			return;
 		}
 		this.crashRetrial = this.router.crashGuard().isRefused(this.fingerprint);
 		Optional<Target> target = chooseTarget();
 		if (target.isEmpty()) {
-			giveUp(finalStep(), "no-upstream");
+			giveUp(RetryObstacle.NO_UPSTREAM, "no-upstream");
 			return;
 		}
 		this.lastTarget = target.get();
@@ -280,11 +286,19 @@
 	}
 
 	private Optional<Target> chooseTarget() {
+		TargetChooser.Criteria criteria = criteria();
+		Optional<Target> target = this.router.chooser().choose(criteria, this.router.nowMs());
+		if (target.isEmpty()) {
+			RequestLog.noTarget(this, this.router.chooser().unusable(criteria, this.router.nowMs()));
+		}
+		return target;
+	}
+
+	private TargetChooser.Criteria criteria() {
 		Set<String> sentTo = this.history.sentTo();
 		boolean again = RetryPolicy.onlyTriedUpstreams(this.route, sentTo.size());
-		TargetChooser.Criteria criteria = new TargetChooser.Criteria(this.service, expectedTokens(),
-				this.history.failedAt(), again ? sentTo : null, !this.answerBegun);
-		return this.router.chooser().choose(criteria, this.router.nowMs());
+		return new TargetChooser.Criteria(this.service, expectedTokens(), this.history.failedAt(),
+				again ? sentTo : null, !this.answerBegun);
 	}
 
 	/**
@@ -304,22 +318,31 @@
 		this.history.recordEnd(end);
 		// Checked before a repeat is taken from the budget that all routers share.
 		if (outlivesRouter()) {
-			giveUp(finalStep(), STOPPING);
+			giveUp(RetryObstacle.STOPPING, STOPPING);
 			return;
 		}
-		RetryDecision next = RetryPolicy.next(this.route, end, before, leftMs(), this::repeatGranted);
+		switch (RetryPolicy.next(this.route, end, before, leftMs(), this::repeatGranted)) {
+			case RetryDecision.Retry retry -> repeat(end);
+			case RetryDecision.Refuse refuse -> giveUp(refuse.obstacle(), end.reason());
+			case RetryDecision.Fail fail -> giveUp(fail.obstacle(), end.reason());
+		}
+	}
+
+	private void repeat(AttemptOutcome end) {
 		// What was passed on of an answer without events cannot be taken back.
 		boolean replayable = !this.body.passingThrough()
 				&& (!this.answerBegun || this.route.kind() == RequestKind.STREAMING);
-		if (next instanceof RetryDecision.Retry && replayable) {
+		if (replayable) {
 			tryNext();
-			return;
 		}
-		giveUp(finalStep(), end.reason());
+		else {
+			giveUp(RetryObstacle.NOT_RESUMABLE, end.reason());
+		}
 	}
 
-	private RetryDecision finalStep() {
-		return this.history.finalStep(this.attempt != null && this.attempt.sent());
+	// Whether an upstream may have run the request, or may still run it.
+	private boolean mayHaveRun() {
+		return this.history.mayHaveRun() || (this.attempt != null && this.attempt.sent());
 	}
 
 	/**
@@ -403,12 +426,13 @@
 		}
 	}
 
-	private void giveUp(RetryDecision step, String reason) {
-		giveUp(step, reason, reason.equals(STOPPING) ? RequestGate.RETRY_ELSEWHERE_MS
+	private void giveUp(RetryObstacle obstacle, String reason) {
+		giveUp(obstacle, reason, reason.equals(STOPPING) ? RequestGate.RETRY_ELSEWHERE_MS
 				: Math.max(RETRY_AFTER_MS, this.router.chooser().backoffMs(this.service)));
 	}
 
-	private void giveUp(RetryDecision step, String reason, long retryAfterMs) {
+	private void giveUp(RetryObstacle obstacle, String reason, long retryAfterMs) {
+		this.obstacle = obstacle;
 		if (this.answerBegun) {
 			end("broken", reason);
 			this.caller.abort();
@@ -416,7 +440,7 @@
 		else if (this.failedAnswer != null) {
 			finish("failed-upstream", reason, this.failedAnswer);
 		}
-		else if (step instanceof RetryDecision.Refuse) {
+		else if (!mayHaveRun()) {
 			finish("refused", reason, Answer.refusal("it was not run: " + reason, retryAfterMs));
 		}
 		else {
@@ -440,7 +464,7 @@
 		// A request that has produced results is not the cause, but affected by the crash
 		// that another one caused.
 		if (!this.crashRetrial && !this.answerBegun && this.attempt != null && this.attempt.underWay()) {
-			giveUp(new RetryDecision.Fail(), CRASHES_UPSTREAMS);
+			giveUp(RetryObstacle.CRASHES_UPSTREAMS, CRASHES_UPSTREAMS);
 		}
 	}
 
@@ -606,6 +630,14 @@
 		return this.progress;
 	}
 
+	/**
+	 * Returns what prevented another attempt.
+	 * @return the obstacle, or {@code null} if nothing did
+	 */
+	RetryObstacle obstacle() {
+		return this.obstacle;
+	}
+
 	long startedMs() {
 		return this.startedMs;
 	}
--- a/whinjunction-router/src/main/java/io/whinjunction/router/RequestLog.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/RequestLog.java
@@ -30,9 +30,10 @@
 		router.metrics().ended(kind, outcome, tookMs);
 		RoutingConfiguration configuration = router.configuration();
 		logger.atInfo()
-			.log("event=request id=%s print=%s outcome=%s reason=%s kind=%s route=%s service=%s team=%s sent=%d not-sent=%d "
+			.log("event=request id=%s print=%s outcome=%s reason=%s no-retry=%s kind=%s route=%s service=%s team=%s sent=%d not-sent=%d "
 					+ "events=%d tokens=%d+%d %s took-ms=%d aim-ms=%d gap-aim-ms=%d taken-in-stop-ms=%s %s version=%d proof-age-ms=%d",
-					session.request().id(), print(session), outcome, reason, kind,
+					session.request().id(), print(session), outcome, reason,
+					(session.obstacle() != null) ? session.obstacle().logName() : "-", kind,
 					(session.route() != null) ? session.route().name() : "-",
 					(session.service() != null) ? session.service().name() : "-",
 					(session.teamName() != null) ? session.teamName() : "-", session.history().sent(),
@@ -42,6 +43,17 @@
 					(configuration != null) ? configuration.version() : -1, router.proof().ageMs(router.bootMs()));
 	}
 
+	/**
+	 * Logs that no upstream can serve a request now.
+	 * @param session the request
+	 * @param unusable what prevents the upstreams from being chosen
+	 */
+	static void noTarget(ForwardSession session, TargetChooser.Unusable unusable) {
+		logger.atInfo()
+			.log("event=no-target id=%s service=%s sent=%d answer-begun=%s %s", session.request().id(),
+					session.service().name(), session.history().sent(), session.answerBegun(), unusable);
+	}
+
 	private static String print(ForwardSession session) {
 		return (session.fingerprint() != null) ? session.fingerprint().toString() : "-";
 	}
--- a/whinjunction-router/src/main/java/io/whinjunction/router/TargetChooser.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/TargetChooser.java
@@ -1,6 +1,7 @@
 package io.whinjunction.router;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
@@ -140,6 +141,33 @@
 		return candidates;
 	}
 
+	/**
+	 * Counts what prevents upstreams from being chosen.
+	 * @param criteria the selection criteria for which no target was found
+	 * @param nowMs the time
+	 * @return the counts
+	 */
+	Unusable unusable(Criteria criteria, long nowMs) {
+		Collection<UpstreamState> active = this.directory.active(criteria.service().name());
+		int failed = 0;
+		int full = 0;
+		int mayNotStart = 0;
+		for (UpstreamState state : active) {
+			failed += criteria.tried().contains(state.incarnation()) ? 1 : 0;
+			full += (criteria.mustFit() && full(criteria.service(), state, nowMs)) ? 1 : 0;
+			mayNotStart += mayStartAt(state.incarnation()) ? 0 : 1;
+		}
+		int startsAllowed = (criteria.onlyFirst() != null) ? criteria.onlyFirst().size() : active.size();
+		return new Unusable(active.size(), startsAllowed, failed, full, mayNotStart);
+	}
+
+	private boolean full(RoutedService service, UpstreamState state, long nowMs) {
+		LayerRange held = state.upstream().held();
+		EngineKind kind = service.chained() ? service.model().kinds().get(state.upstream().kind()) : null;
+		return held != null && kind != null
+				&& full(service.model(), kind, held, usedRatio(service.model(), kind, state, nowMs));
+	}
+
 	private boolean mayStartAt(String upstream) {
 		return !this.admission.availability().backingOff(upstream) && this.admission.limits().allows(upstream);
 	}
@@ -206,6 +234,25 @@
 	record Admission(UpstreamLimits limits, UpstreamAvailability availability) {
 	}
 
+	/**
+	 * Why no upstream could be chosen. Immutable.
+	 *
+	 * @param active the number of upstreams of the service that are not leaving
+	 * @param startsAllowed at how many of them the attempt may start
+	 * @param failed how many made the request fail before
+	 * @param full how many have no free capacity, if the request has to fit
+	 * @param mayNotStart how many are in a backoff or have no share of their limit left
+	 */
+	record Unusable(int active, int startsAllowed, int failed, int full, int mayNotStart) {
+
+		@Override
+		public String toString() {
+			return "active=" + this.active + " starts-allowed=" + this.startsAllowed + " failed=" + this.failed
+					+ " full=" + this.full + " may-not-start=" + this.mayNotStart;
+		}
+
+	}
+
 	/**
 	 * The selection criteria of an attempt. Immutable.
 	 *
