A stream that has begun waits until it can be resumed

What callers saw: a draft that had begun was closed in the middle, with most of its time left, within milliseconds of its engine's end: the next engine turned it away, the router's share of the retry budget was used up, no upstream could be chosen just then, its key could not be proved for a moment, or four connections in a row were refused.

For the latter a refusal is true and lets its caller go elsewhere; for the former no truthful answer is left, and its caller waits. Besides, attempts took a repeat of the budget that then reached no upstream (no target, a connection that failed, an answer that can't be taken back), and a stalled stream was abandoned before another path for it was known.

Now RetryPolicy answers Wait for a resumable answer that has begun, and the session tries again after pauses that double after attempts without progress, until the caller's time is over or it leaves. A target is chosen before the budget is asked, and a repeat that reached no upstream is returned. Upstreams that turned the stream away, refused a connection or left the list don't count as those that the route allows. A stalled attempt is abandoned only for another one that can begin; silence alone ends no answer. Requests without an answer are refused at once as before.

New: event=stream-waits, metric waiting_streams.

--- a/whinjunction-core/src/main/java/io/whinjunction/forward/FleetRetryBudget.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/forward/FleetRetryBudget.java
@@ -77,6 +77,16 @@
 		return true;
 	}
 
+	/**
+	 * Returns a retry that reached no upstream. It is not returned after the time in
+	 * which it was acquired is over.
+	 * @param nowMs the current time
+	 */
+	public void returnRepeat(long nowMs) {
+		int index = advance(nowMs);
+		this.retries[index] = Math.max(0, this.retries[index] - 1);
+	}
+
 	private int advance(long nowMs) {
 		long now = nowMs / this.bucketMs;
 		long from = Math.max(this.bucket + 1, now - BUCKETS);
--- a/whinjunction-core/src/main/java/io/whinjunction/forward/RetryDecision.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/forward/RetryDecision.java
@@ -9,6 +9,15 @@
 	record Retry() implements RetryDecision {
 	}
 
+	/**
+	 * The answer has begun and is resumed at an upstream as soon as possible; its caller
+	 * keeps waiting.
+	 *
+	 * @param obstacle what prevents it now
+	 */
+	record Wait(RetryObstacle obstacle) implements RetryDecision {
+	}
+
 	/**
 	 * The request has not run and never will; the response states when to retry.
 	 *
--- a/whinjunction-core/src/main/java/io/whinjunction/forward/RetryObstacle.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/forward/RetryObstacle.java
@@ -15,6 +15,8 @@
 	NO_BUDGET("no-budget"),
 	/** No upstream can serve the request now. */
 	NO_UPSTREAM("no-upstream"),
+	/** The last attempt to resume a stream ended before it sent an event. */
+	NO_PROGRESS("no-progress"),
 	/** A part of the answer has been passed on that cannot be resumed. */
 	NOT_RESUMABLE("not-resumable"),
 	/** The request crashes upstreams. */
@@ -28,6 +30,18 @@
 		this.logName = logName;
 	}
 
+	/**
+	 * Returns whether the obstacle may pass while a caller waits for the rest of its
+	 * answer.
+	 * @return {@code false} if no later attempt is possible either
+	 */
+	public boolean temporary() {
+		return switch (this) {
+			case NO_BUDGET, NO_UPSTREAM, NO_PROGRESS -> true;
+			case NOT_REPEATABLE, NO_TIME, SENDS_USED, NOT_RESUMABLE, CRASHES_UPSTREAMS, STOPPING -> false;
+		};
+	}
+
 	/**
 	 * Returns the name in log lines.
 	 * @return one word
--- a/whinjunction-core/src/main/java/io/whinjunction/forward/RetryPolicy.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/forward/RetryPolicy.java
@@ -1,5 +1,7 @@
 package io.whinjunction.forward;
 
+import java.util.Optional;
+
 import io.whinjunction.routing.Route;
 
 /**
@@ -9,7 +11,8 @@
  * refusal is only chosen if no upstream can have run the request, in this attempt or an
  * earlier one; no request is sent to more upstreams than its route allows: once
  * {@link #onlyTriedUpstreams} returns {@code true}, the caller of this class chooses
- * among those already tried. Stateless.
+ * among those already tried; an answer that has begun and can be resumed is ended only
+ * when the caller's time is over, since there is no truthful refusal left. Stateless.
  */
 public final class RetryPolicy {
 
@@ -44,11 +47,11 @@
 	 * @param outcome the outcome of the attempt
 	 * @param history the earlier attempts
 	 * @param leftMs the time left, in milliseconds
-	 * @param budget grants retries; queried last, so that no retry is taken without being
-	 * used
+	 * @param grants acquires what the attempt needs; queried last, so that nothing is
+	 * taken without being used
 	 * @return the decision
 	 */
-	public static RetryDecision next(Route route, AttemptOutcome outcome, History history, long leftMs, Budget budget) {
+	public static RetryDecision next(Route route, AttemptOutcome outcome, History history, long leftMs, Grants grants) {
 		boolean mayHaveRun = history.mayHaveRun() || outcome instanceof AttemptOutcome.Unknown
 				|| outcome instanceof AttemptOutcome.Failed;
 		if (mayHaveRun && !route.repeatable()) {
@@ -57,13 +60,35 @@
 		if (leftMs < MIN_ATTEMPT_MS) {
 			return end(mayHaveRun, RetryObstacle.NO_TIME);
 		}
+		if (history.answerBegun()) {
+			return history.progressed() ? resume(leftMs, grants) : new RetryDecision.Wait(RetryObstacle.NO_PROGRESS);
+		}
 		if (!countsAllow(route, outcome, history)) {
 			return end(mayHaveRun, RetryObstacle.SENDS_USED);
 		}
-		if (!granted(outcome, history, budget)) {
-			return end(mayHaveRun, RetryObstacle.NO_BUDGET);
+		// If nothing was sent before, the next send is the request's first arrival
+		// and not a retry.
+		boolean repeat = !(outcome instanceof AttemptOutcome.NotSent) || history.sent() > 0;
+		return grants.acquire(repeat).map((obstacle) -> end(mayHaveRun, obstacle)).orElseGet(RetryDecision.Retry::new);
+	}
+
+	/**
+	 * Decides whether an answer that has begun can be resumed now. Its sends are bounded
+	 * by the retry budget and the pauses between them, not by a count.
+	 * @param leftMs the time left, in milliseconds
+	 * @param grants acquires what the attempt needs
+	 * @return the decision; never a refusal
+	 */
+	public static RetryDecision resume(long leftMs, Grants grants) {
+		if (leftMs < MIN_ATTEMPT_MS) {
+			return new RetryDecision.Fail(RetryObstacle.NO_TIME);
 		}
-		return new RetryDecision.Retry();
+		Optional<RetryObstacle> obstacle = grants.acquire(true);
+		if (obstacle.isEmpty()) {
+			return new RetryDecision.Retry();
+		}
+		return obstacle.get().temporary() ? new RetryDecision.Wait(obstacle.get())
+				: new RetryDecision.Fail(obstacle.get());
 	}
 
 	private static RetryDecision end(boolean mayHaveRun, RetryObstacle obstacle) {
@@ -90,21 +115,16 @@
 		return history.sent() < (more ? maxSends + EXTRA_SENDS : maxSends);
 	}
 
-	private static boolean granted(AttemptOutcome outcome, History history, Budget budget) {
-		// If nothing was sent before, the next send is the request's first arrival
-		// and not a retry.
-		return (outcome instanceof AttemptOutcome.NotSent && history.sent() == 0) || budget.tryRepeat();
-	}
-
-	/** Grants retries. */
+	/** Grants what an attempt needs. */
 	@FunctionalInterface
-	public interface Budget {
+	public interface Grants {
 
 		/**
-		 * Acquires one retry if the budget allows it.
-		 * @return whether it is granted
+		 * Acquires an upstream and, for a repeat, one retry of the budget, or nothing.
+		 * @param repeat whether the attempt counts against the retry budget
+		 * @return what prevents the attempt; empty if all that it needs was acquired
 		 */
-		boolean tryRepeat();
+		Optional<RetryObstacle> acquire(boolean repeat);
 
 	}
 
@@ -114,8 +134,11 @@
 	 * @param sent how often it was sent, the last attempt included
 	 * @param notSent how often an attempt reached no upstream, the last attempt included
 	 * @param mayHaveRun whether an earlier attempt may have run
+	 * @param answerBegun whether a part of the answer was passed on to the caller
+	 * @param progressed whether the last attempt sent a part of the answer, or found that
+	 * an upstream has ended
 	 */
-	public record History(int sent, int notSent, boolean mayHaveRun) {
+	public record History(int sent, int notSent, boolean mayHaveRun, boolean answerBegun, boolean progressed) {
 	}
 
 }
--- a/whinjunction-router/src/main/java/io/whinjunction/router/Attempt.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/Attempt.java
@@ -46,6 +46,12 @@
 	 */
 	private static final long HARMLESS_AFTER_MS = 500;
 
+	/**
+	 * The shortest time between two searches for another path of one stalled stream, in
+	 * milliseconds.
+	 */
+	private static final long STALLED_INTERVAL_MS = 100;
+
 	private final ForwardSession session;
 
 	private Target target;
@@ -61,6 +67,8 @@
 
 	private boolean sent;
 
+	private boolean foundEnded;
+
 	private boolean ended;
 
 	private UpstreamHead head;
@@ -71,6 +79,10 @@
 
 	private boolean detouring;
 
+	private boolean detourRejected;
+
+	private long stalledAtMs = Long.MIN_VALUE / 2;
+
 	private int eventBatches;
 
 	private long firstAtMs;
@@ -101,6 +113,15 @@
 		return this.sent && !this.ended;
 	}
 
+	/**
+	 * Whether the attempt brought the request further, so that the next one need not
+	 * wait.
+	 * @return whether an event arrived, or the upstream was found to have ended
+	 */
+	boolean progressed() {
+		return this.eventBatches > 0 || this.foundEnded;
+	}
+
 	void start() {
 		this.load.began();
 		this.session.router().limits().sent(this.first);
@@ -108,18 +129,29 @@
 		// to it, which leaves unknown whether the request ran. A request that must not be
 		// repeated gets a new connection, which costs a millisecond.
 		boolean fresh = !this.session.route().repeatable();
-		this.session.router().pool().acquire(this.target.first(), fresh, this::connected);
+		this.session.router().pool().acquire(this.target.first(), fresh, this::acquired);
 	}
 
-	private void connected(UpstreamConnection connected) {
-		if (this.ended) {
-			if (connected != null) {
-				connected.channel().close();
+	private void acquired(Acquisition acquisition) {
+		switch (acquisition) {
+			case Acquisition.Connected connected -> connected(connected.connection());
+			case Acquisition.Refused refused -> {
+				this.foundEnded = this.session.history().recordUpstreamEnded(this.first);
+				notConnected();
 			}
-			return;
+			case Acquisition.Failed failed -> notConnected();
 		}
-		if (connected == null) {
+	}
+
+	private void notConnected() {
+		if (!this.ended) {
 			notSent("no-connection");
+		}
+	}
+
+	private void connected(UpstreamConnection connected) {
+		if (this.ended) {
+			connected.channel().close();
 			return;
 		}
 		UpstreamState state = this.session.router().directory().find(this.first);
@@ -294,14 +326,16 @@
 	 * @param address the stalled engine
 	 */
 	void stalled(String address) {
-		if (this.detouring) {
+		long nowMs = this.session.router().nowMs();
+		if (this.detouring || nowMs - this.stalledAtMs < STALLED_INTERVAL_MS) {
 			return;
 		}
+		this.stalledAtMs = nowMs;
 		Hop first = this.target.path().getFirst();
 		boolean accepts = !first.engine().address().equals(address)
 				&& !this.session.router().availability().backingOff(this.first);
-		Optional<List<Hop>> detour = (this.eventBatches > 0 && accepts) ? this.session.detour(address, first)
-				: Optional.empty();
+		Optional<List<Hop>> detour = (this.eventBatches > 0 && accepts && !this.detourRejected)
+				? this.session.detour(address, first) : Optional.empty();
 		if (detour.isPresent() && Target.domainChanges(detour.get()) == 0) {
 			orderDetour(address, detour.get());
 		}
@@ -332,6 +366,7 @@
 			this.progressAtMs = this.session.router().nowMs();
 		}
 		else {
+			this.detourRejected = true;
 			this.session.onStalled(address);
 		}
 	}
--- a/whinjunction-router/src/main/java/io/whinjunction/router/AttemptHistory.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/AttemptHistory.java
@@ -18,6 +18,8 @@
 
 	private final Set<String> sentTo = new HashSet<>();
 
+	private final Set<String> mayHaveRunAt = new HashSet<>();
+
 	private int sent;
 
 	private int notSent;
@@ -38,6 +40,16 @@
 		this.notSent++;
 	}
 
+	/**
+	 * Records that an upstream has ended.
+	 * @param incarnation the upstream
+	 * @return whether that was not known for this request
+	 */
+	boolean recordUpstreamEnded(String incarnation) {
+		this.mayHaveRunAt.remove(incarnation);
+		return this.failedAt.add(incarnation);
+	}
+
 	/**
 	 * Records that an upstream made the request fail.
 	 * @param incarnation the upstream
@@ -48,10 +60,14 @@
 
 	/**
 	 * Records the end of an attempt.
+	 * @param incarnation the upstream that it was sent to
 	 * @param end how it ended
 	 */
-	void recordEnd(AttemptOutcome end) {
-		this.mayHaveRun |= end instanceof AttemptOutcome.Unknown || end instanceof AttemptOutcome.Failed;
+	void recordEnd(String incarnation, AttemptOutcome end) {
+		if (end instanceof AttemptOutcome.Unknown || end instanceof AttemptOutcome.Failed) {
+			this.mayHaveRun = true;
+			this.mayHaveRunAt.add(incarnation);
+		}
 	}
 
 	/**
@@ -70,6 +86,15 @@
 		return this.sentTo;
 	}
 
+	/**
+	 * Returns the upstreams that may have run the request, without those that are known
+	 * to have ended since.
+	 * @return their incarnations; a live view
+	 */
+	Set<String> mayHaveRunAt() {
+		return this.mayHaveRunAt;
+	}
+
 	int sent() {
 		return this.sent;
 	}
@@ -83,11 +108,14 @@
 	}
 
 	/**
-	 * Returns the counts by which the retry policy decides.
-	 * @return the counts
+	 * Returns the values by which the retry policy decides.
+	 * @param answerBegun whether a part of the answer was passed on to the caller
+	 * @param progressed whether the last attempt sent a part of the answer, or found that
+	 * an upstream has ended
+	 * @return the values
 	 */
-	RetryPolicy.History forRetry() {
-		return new RetryPolicy.History(this.sent, this.notSent, this.mayHaveRun);
+	RetryPolicy.History forRetry(boolean answerBegun, boolean progressed) {
+		return new RetryPolicy.History(this.sent, this.notSent, this.mayHaveRun, answerBegun, progressed);
 	}
 
 }
--- a/whinjunction-router/src/main/java/io/whinjunction/router/CallerConnection.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/CallerConnection.java
@@ -315,6 +315,14 @@
 		return one ? this.router.nowMs() - this.session.startedMs() : -1;
 	}
 
+	/**
+	 * Whether the current answer has begun and waits to be resumed at an upstream.
+	 * @return {@code false} if there is none
+	 */
+	boolean waitsToResume() {
+		return this.session != null && this.session.waitsToResume();
+	}
+
 	/**
 	 * Whether the caller still awaits an answer or is still receiving one.
 	 * @return whether this process has to wait for this connection before it exits
--- a/whinjunction-router/src/main/java/io/whinjunction/router/ForwardSession.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/ForwardSession.java
@@ -5,6 +5,8 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -43,18 +45,6 @@
 	/** How long a caller waits that does not state a deadline, in milliseconds. */
 	private static final long DEFAULT_MAX_WAIT_MS = 30_000;
 
-	/**
-	 * The reason of a request that ends, or an attempt that is not begun, because this
-	 * process is stopping.
-	 */
-	private static final String STOPPING = "stopping";
-
-	/**
-	 * The reason of a request that is not sent, or not awaited, because it crashes
-	 * upstreams.
-	 */
-	private static final String CRASHES_UPSTREAMS = "crashes-upstreams";
-
 	private final RouterContext router;
 
 	private final CallerConnection caller;
@@ -94,9 +84,19 @@
 
 	private boolean done;
 
-	/** What prevented another attempt; {@code null} if nothing did. */
+	/**
+	 * What prevented another attempt since the last event; {@code null} if nothing did.
+	 */
 	private RetryObstacle obstacle;
 
+	/** Whether the newest attempt was taken from the retry budget. */
+	private boolean repeat;
+
+	/** When a request that crashes upstreams may be retried, in milliseconds. */
+	private long crashRetryAfterMs = RETRY_AFTER_MS;
+
+	private final ResumeTimer resumeTimer;
+
 	/**
 	 * Whether the request was sent although it crashes upstreams, to check whether it
 	 * still does.
@@ -111,6 +111,7 @@
 		this.request = request;
 		this.body = new RequestBody(contentLength);
 		this.startedMs = router.nowMs();
+		this.resumeTimer = new ResumeTimer(router);
 	}
 
 	/** Decides on the head; the first attempt waits for the body. */
@@ -128,6 +129,9 @@
 		this.route = admitted.route();
 		this.team = admitted.team();
 		this.service = admitted.service();
+		if (this.route.kind() == RequestKind.STREAMING && this.route.repeatable()) {
+			this.body.answerIsResumable();
+		}
 		this.router.budget(this.service.name()).requested(this.startedMs);
 		long maxWaitMs = (this.request.maxWaitMs() >= 0) ? this.request.maxWaitMs() : DEFAULT_MAX_WAIT_MS;
 		this.deadlineMs = this.startedMs + maxWaitMs;
@@ -227,7 +231,7 @@
 		if (this.done) {
 			return false;
 		}
-		giveUp(RetryObstacle.STOPPING, STOPPING);
+		giveUp(RetryObstacle.STOPPING, RetryObstacle.STOPPING.logName());
 		return this.answerBegun;
 	}
 
@@ -235,27 +239,37 @@
 		this.fingerprint = RequestFingerprint.of(Objects.requireNonNullElse(teamName(), ""), this.request.method(),
 				this.request.host(), this.request.uri(), this.body.buffered().nioBuffer());
 		if (outlivesRouter()) {
-			giveUp(RetryObstacle.STOPPING, STOPPING);
+			giveUp(RetryObstacle.STOPPING, RetryObstacle.STOPPING.logName());
 			return;
 		}
-		tryNext();
+		acquire(false).ifPresentOrElse((obstacle) -> giveUp(obstacle, obstacle.logName()), this::begin);
 	}
 
-	private void tryNext() {
+	// The budget is asked last: a repeat that no upstream can serve must not be taken
+	// from
+	// what other requests need.
+	private Optional<RetryObstacle> acquire(boolean repeat) {
 		Optional<CrashingRequests.Refusal> crashing = this.router.crashGuard()
 			.refusal(this.request.id(), this.fingerprint);
 		if (crashing.isPresent()) {
-			giveUp(RetryObstacle.CRASHES_UPSTREAMS, CRASHES_UPSTREAMS, crashing.get().retryAfterMs());
-			return;
+			this.crashRetryAfterMs = crashing.get().retryAfterMs();
+			return Optional.of(RetryObstacle.CRASHES_UPSTREAMS);
 		}
-		this.crashRetrial = this.router.crashGuard().isRefused(this.fingerprint);
 		Optional<Target> target = chooseTarget();
 		if (target.isEmpty()) {
-			giveUp(RetryObstacle.NO_UPSTREAM, "no-upstream");
-			return;
+			return Optional.of(RetryObstacle.NO_UPSTREAM);
+		}
+		if (repeat && !repeatGranted()) {
+			return Optional.of(RetryObstacle.NO_BUDGET);
 		}
 		this.lastTarget = target.get();
-		this.attempt = new Attempt(this, target.get());
+		this.repeat = repeat;
+		return Optional.empty();
+	}
+
+	private void begin() {
+		this.crashRetrial = this.router.crashGuard().isRefused(this.fingerprint);
+		this.attempt = new Attempt(this, this.lastTarget);
 		this.attempt.start();
 	}
 
@@ -286,19 +300,34 @@
 	}
 
 	private Optional<Target> chooseTarget() {
-		TargetChooser.Criteria criteria = criteria();
+		TargetChooser.Criteria criteria = criteria(this.history.failedAt());
 		Optional<Target> target = this.router.chooser().choose(criteria, this.router.nowMs());
-		if (target.isEmpty()) {
+		if (target.isEmpty() && this.answerBegun) {
+			// What failed a while ago may work again, and there may be nothing else.
+			target = this.router.chooser().choose(criteria(Set.of()), this.router.nowMs());
+		}
+		if (target.isEmpty() && this.obstacle != RetryObstacle.NO_UPSTREAM) {
 			RequestLog.noTarget(this, this.router.chooser().unusable(criteria, this.router.nowMs()));
 		}
 		return target;
 	}
 
-	private TargetChooser.Criteria criteria() {
-		Set<String> sentTo = this.history.sentTo();
-		boolean again = RetryPolicy.onlyTriedUpstreams(this.route, sentTo.size());
-		return new TargetChooser.Criteria(this.service, expectedTokens(), this.history.failedAt(),
-				again ? sentTo : null, !this.answerBegun);
+	private TargetChooser.Criteria criteria(Set<String> excluded) {
+		Set<String> tried = this.answerBegun ? mayStillRunIt() : this.history.sentTo();
+		boolean again = RetryPolicy.onlyTriedUpstreams(this.route, tried.size());
+		return new TargetChooser.Criteria(this.service, expectedTokens(), excluded, again ? tried : null,
+				!this.answerBegun);
+	}
+
+	// Upstreams that have ended, or that did not run the request, do not count as those
+	// that the route allows for an answer that has begun.
+	private Set<String> mayStillRunIt() {
+		Stream<String> underWay = (this.attempt != null && this.attempt.sent())
+				? Stream.of(this.attempt.target().first().incarnation()) : Stream.empty();
+		return Stream.concat(this.history.mayHaveRunAt().stream(), underWay)
+			.filter((incarnation) -> this.router.directory().find(incarnation) != null
+					&& !this.router.engineMonitor().lost(incarnation))
+			.collect(Collectors.toUnmodifiableSet());
 	}
 
 	/**
@@ -311,33 +340,53 @@
 		this.attempt = null;
 		avoid(ended, end, faultyAddress);
 		RequestLog.attemptEnded(this, ended, end, faultyAddress);
+		if (end instanceof AttemptOutcome.NotSent && this.repeat) {
+			this.router.budget(this.service.name()).returnRepeat(this.router.nowMs());
+		}
 		if (this.done) {
 			return;
 		}
-		RetryPolicy.History before = this.history.forRetry();
-		this.history.recordEnd(end);
+		RetryPolicy.History before = this.history.forRetry(this.answerBegun, ended.progressed());
+		this.history.recordEnd(ended.target().first().incarnation(), end);
 		// Checked before a repeat is taken from the budget that all routers share.
 		if (outlivesRouter()) {
-			giveUp(RetryObstacle.STOPPING, STOPPING);
-			return;
+			giveUp(RetryObstacle.STOPPING, RetryObstacle.STOPPING.logName());
+		}
+		else if (!replayable()) {
+			giveUp(RetryObstacle.NOT_RESUMABLE, end.reason());
 		}
-		switch (RetryPolicy.next(this.route, end, before, leftMs(), this::repeatGranted)) {
-			case RetryDecision.Retry retry -> repeat(end);
-			case RetryDecision.Refuse refuse -> giveUp(refuse.obstacle(), end.reason());
-			case RetryDecision.Fail fail -> giveUp(fail.obstacle(), end.reason());
+		else {
+			follow(RetryPolicy.next(this.route, end, before, leftMs(), this::acquire), end.reason());
 		}
 	}
 
-	private void repeat(AttemptOutcome end) {
-		// What was passed on of an answer without events cannot be taken back.
-		boolean replayable = !this.body.passingThrough()
-				&& (!this.answerBegun || this.route.kind() == RequestKind.STREAMING);
-		if (replayable) {
-			tryNext();
+	// What was passed on of an answer without events cannot be taken back.
+	private boolean replayable() {
+		return !this.body.passingThrough() && (!this.answerBegun || this.route.kind() == RequestKind.STREAMING);
+	}
+
+	private void follow(RetryDecision decision, String reason) {
+		switch (decision) {
+			case RetryDecision.Retry retry -> begin();
+			case RetryDecision.Wait wait -> waitToResume(wait.obstacle(), reason);
+			case RetryDecision.Refuse refuse -> giveUp(refuse.obstacle(), reason(refuse.obstacle(), reason));
+			case RetryDecision.Fail fail -> giveUp(fail.obstacle(), reason(fail.obstacle(), reason));
 		}
-		else {
-			giveUp(RetryObstacle.NOT_RESUMABLE, end.reason());
+	}
+
+	private static String reason(RetryObstacle obstacle, String attemptReason) {
+		return switch (obstacle) {
+			case NO_UPSTREAM, CRASHES_UPSTREAMS -> obstacle.logName();
+			default -> attemptReason;
+		};
+	}
+
+	private void waitToResume(RetryObstacle next, String reason) {
+		if (next != this.obstacle) {
+			RequestLog.waits(this, next, reason);
 		}
+		this.obstacle = next;
+		this.resumeTimer.start(next, () -> follow(RetryPolicy.resume(leftMs(), this::acquire), reason));
 	}
 
 	// Whether an upstream may have run the request, or may still run it.
@@ -346,15 +395,18 @@
 	}
 
 	/**
-	 * Ends the attempt under way because it waits for an engine that does not respond.
+	 * Ends the attempt under way because it waits for an engine that does not respond,
+	 * unless it is the only one that can go on with an answer that has begun: the engine
+	 * may respond again.
 	 * @param address the engine
 	 */
 	void onStalled(String address) {
 		Attempt stalled = this.attempt;
-		if (stalled != null && !this.done) {
-			stalled.abandon();
-			onAttemptOutcome(new AttemptOutcome.Unknown("stalled"), address);
+		if (stalled == null || this.done || (this.answerBegun && this.route.repeatable() && replayable())) {
+			return;
 		}
+		stalled.abandon();
+		onAttemptOutcome(new AttemptOutcome.Unknown("stalled"), address);
 	}
 
 	/**
@@ -363,12 +415,16 @@
 	 * @return whether it was abandoned
 	 */
 	boolean failOver(String faultyAddress) {
-		if (outlivesRouter()) {
+		if (outlivesRouter() || !replayable()) {
 			return false;
 		}
+		recordFailureAt(faultyAddress);
 		AttemptOutcome end = new AttemptOutcome.Unknown("stalled");
-		RetryPolicy.History counted = new RetryPolicy.History(this.history.sent(), this.history.notSent(), true);
-		RetryDecision next = RetryPolicy.next(this.route, end, counted, leftMs(), this::repeatGranted);
+		RetryDecision next = RetryPolicy.next(this.route, end, this.history.forRetry(this.answerBegun, true), leftMs(),
+				this::acquire);
+		if (next instanceof RetryDecision.Wait wait) {
+			this.obstacle = wait.obstacle();
+		}
 		if (!(next instanceof RetryDecision.Retry)) {
 			return false;
 		}
@@ -377,11 +433,18 @@
 		this.attempt = null;
 		avoid(stalled, end, faultyAddress);
 		RequestLog.attemptEnded(this, stalled, end, faultyAddress);
-		this.history.recordEnd(end);
-		tryNext();
+		this.history.recordEnd(stalled.target().first().incarnation(), end);
+		begin();
 		return true;
 	}
 
+	private void recordFailureAt(String address) {
+		UpstreamState faulty = this.router.directory().findByAddress(this.service.name(), address);
+		if (faulty != null) {
+			this.history.recordFailure(faulty.incarnation());
+		}
+	}
+
 	/**
 	 * Finds another path for the attempt under way.
 	 * @param faultyAddress the engine to leave out
@@ -389,10 +452,7 @@
 	 * @return the complete path, or empty if there is none
 	 */
 	Optional<List<Hop>> detour(String faultyAddress, Hop first) {
-		UpstreamState faulty = this.router.directory().findByAddress(this.service.name(), faultyAddress);
-		if (faulty != null) {
-			this.history.recordFailure(faulty.incarnation());
-		}
+		recordFailureAt(faultyAddress);
 		TargetChooser.Criteria criteria = new TargetChooser.Criteria(this.service, expectedTokens(),
 				this.history.failedAt(), null, false);
 		return this.router.chooser().detour(criteria, first, this.router.nowMs());
@@ -426,12 +486,15 @@
 		}
 	}
 
-	private void giveUp(RetryObstacle obstacle, String reason) {
-		giveUp(obstacle, reason, reason.equals(STOPPING) ? RequestGate.RETRY_ELSEWHERE_MS
-				: Math.max(RETRY_AFTER_MS, this.router.chooser().backoffMs(this.service)));
+	private long retryAfterMs() {
+		return switch (this.obstacle) {
+			case STOPPING -> RequestGate.RETRY_ELSEWHERE_MS;
+			case CRASHES_UPSTREAMS -> this.crashRetryAfterMs;
+			default -> Math.max(RETRY_AFTER_MS, this.router.chooser().backoffMs(this.service));
+		};
 	}
 
-	private void giveUp(RetryObstacle obstacle, String reason, long retryAfterMs) {
+	private void giveUp(RetryObstacle obstacle, String reason) {
 		this.obstacle = obstacle;
 		if (this.answerBegun) {
 			end("broken", reason);
@@ -441,7 +504,7 @@
 			finish("failed-upstream", reason, this.failedAnswer);
 		}
 		else if (!mayHaveRun()) {
-			finish("refused", reason, Answer.refusal("it was not run: " + reason, retryAfterMs));
+			finish("refused", reason, Answer.refusal("it was not run: " + reason, retryAfterMs()));
 		}
 		else {
 			finish("failed", reason, Answer.error(HttpResponseStatus.BAD_GATEWAY, "it may have run: " + reason));
@@ -464,7 +527,7 @@
 		// A request that has produced results is not the cause, but affected by the crash
 		// that another one caused.
 		if (!this.crashRetrial && !this.answerBegun && this.attempt != null && this.attempt.underWay()) {
-			giveUp(RetryObstacle.CRASHES_UPSTREAMS, CRASHES_UPSTREAMS);
+			giveUp(RetryObstacle.CRASHES_UPSTREAMS, RetryObstacle.CRASHES_UPSTREAMS.logName());
 		}
 	}
 
@@ -510,6 +573,8 @@
 			this.router.metrics().firstEvent(nowMs - this.startedMs);
 		}
 		this.progress.recordEvents(nowMs, this.startedMs);
+		this.resumeTimer.progressed();
+		this.obstacle = null;
 		this.caller.writeBody(content);
 	}
 
@@ -554,6 +619,7 @@
 
 	private void end(String outcome, String reason) {
 		this.done = true;
+		this.resumeTimer.close();
 		if (this.timeout != null) {
 			this.timeout.cancel(false);
 		}
@@ -610,6 +676,14 @@
 		return this.body;
 	}
 
+	/**
+	 * Whether the answer has begun and waits to be resumed at an upstream.
+	 * @return {@code false} while an attempt is under way
+	 */
+	boolean waitsToResume() {
+		return this.resumeTimer.waiting();
+	}
+
 	boolean answerBegun() {
 		return this.answerBegun;
 	}
--- a/whinjunction-router/src/main/java/io/whinjunction/router/RequestBody.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/RequestBody.java
@@ -16,8 +16,16 @@
 	 */
 	private static final int MAX_BUFFERED_BYTES = 65_536;
 
+	/**
+	 * The same for requests whose answers can be resumed: the longest prompts that
+	 * engines have memory for.
+	 */
+	private static final int MAX_BUFFERED_RESUMABLE_BYTES = 262_144;
+
 	private final long contentLength;
 
+	private int maxBufferedBytes = MAX_BUFFERED_BYTES;
+
 	// On the heap, so that nothing has to be released.
 	private final ByteBuf buffer = Unpooled.buffer(0);
 
@@ -33,6 +41,11 @@
 		this.contentLength = contentLength;
 	}
 
+	/** Buffers longer bodies, since the answer can be resumed only with the body. */
+	void answerIsResumable() {
+		this.maxBufferedBytes = MAX_BUFFERED_RESUMABLE_BYTES;
+	}
+
 	long contentLength() {
 		return this.contentLength;
 	}
@@ -52,7 +65,7 @@
 	 * @return {@code false} if the body has to be streamed
 	 */
 	boolean keep(ByteBuf content) {
-		if (this.passingThrough || bytesWith(content) > MAX_BUFFERED_BYTES) {
+		if (this.passingThrough || bytesWith(content) > this.maxBufferedBytes) {
 			return false;
 		}
 		this.buffer.writeBytes(content);
--- a/whinjunction-router/src/main/java/io/whinjunction/router/RequestLog.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/RequestLog.java
@@ -2,6 +2,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.whinjunction.forward.AttemptOutcome;
+import io.whinjunction.forward.RetryObstacle;
 import io.whinjunction.routing.Route;
 import io.whinjunction.routing.RoutingConfiguration;
 
@@ -54,6 +55,19 @@
 					session.service().name(), session.history().sent(), session.answerBegun(), unusable);
 	}
 
+	/**
+	 * Logs that an answer that has begun waits to be resumed.
+	 * @param session the request
+	 * @param obstacle what prevents it now
+	 * @param reason how the last attempt ended
+	 */
+	static void waits(ForwardSession session, RetryObstacle obstacle, String reason) {
+		logger.atInfo()
+			.log("event=stream-waits id=%s obstacle=%s reason=\"%s\" sent=%d not-sent=%d events=%d left-ms=%d",
+					session.request().id(), obstacle.logName(), reason, session.history().sent(),
+					session.history().notSent(), session.events().events(), session.leftMs());
+	}
+
 	private static String print(ForwardSession session) {
 		return (session.fingerprint() != null) ? session.fingerprint().toString() : "-";
 	}
--- a/whinjunction-router/src/main/java/io/whinjunction/router/Router.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/Router.java
@@ -376,6 +376,7 @@
 		this.metrics.state("callers", this.callers.size());
 		this.metrics.state("limited_upstreams", this.limits.count());
 		this.metrics.state("backing_off_upstreams", this.availability.backingOffCount());
+		this.metrics.state("waiting_streams", this.callers.stream().filter(CallerConnection::waitsToResume).count());
 		this.metrics.state("crashing_requests", this.crashGuard.refused());
 		this.metrics.state("leading", this.leadership.holds() ? 1 : 0);
 	}
@@ -395,6 +396,11 @@
 		return this.boot.nowMs();
 	}
 
+	@Override
+	public RandomGenerator random() {
+		return this.random;
+	}
+
 	@Override
 	public RoutingConfiguration configuration() {
 		return this.configurationSynchronizer.configuration();
--- a/whinjunction-router/src/main/java/io/whinjunction/router/RouterContext.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/RouterContext.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.Set;
+import java.util.random.RandomGenerator;
 
 import io.netty.channel.EventLoop;
 import io.whinjunction.forward.FleetRetryBudget;
@@ -32,6 +33,12 @@
 	 */
 	long bootMs();
 
+	/**
+	 * Returns the source of randomness.
+	 * @return the generator, used on the event loop only
+	 */
+	RandomGenerator random();
+
 	/**
 	 * Returns the configuration in force.
 	 * @return the configuration, or {@code null} before the first one
--- a/whinjunction-router/src/main/java/io/whinjunction/router/RouterMetrics.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/RouterMetrics.java
@@ -61,7 +61,7 @@
 
 	private final Gauge state = Gauge.builder()
 		.name("whin_router_state")
-		.help("State by kind: version, proof_age_ms, list_age_ms, store_era, upstreams, callers, crashing_requests, limited_upstreams, backing_off_upstreams, leading, log_lines_dropped")
+		.help("State by kind: version, proof_age_ms, list_age_ms, store_era, upstreams, callers, crashing_requests, limited_upstreams, backing_off_upstreams, waiting_streams, leading, log_lines_dropped")
 		.withoutExemplars()
 		.labelNames("kind")
 		.register(this.registry);
--- a/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamPool.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamPool.java
@@ -1,5 +1,6 @@
 package io.whinjunction.router;
 
+import java.net.ConnectException;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
@@ -10,6 +11,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioChannelOption;
@@ -78,12 +80,12 @@
 	 * Acquires a connection.
 	 * @param upstream the upstream
 	 * @param fresh whether a new connection is required
-	 * @param done called with the connection, or {@code null} if none could be made
+	 * @param done called with the outcome
 	 */
-	void acquire(Upstream upstream, boolean fresh, Consumer<UpstreamConnection> done) {
+	void acquire(Upstream upstream, boolean fresh, Consumer<Acquisition> done) {
 		UpstreamConnection pooled = fresh ? null : poll(upstream.incarnation());
 		if (pooled != null) {
-			done.accept(pooled);
+			done.accept(new Acquisition.Connected(pooled));
 			return;
 		}
 		connect(upstream, done);
@@ -145,7 +147,7 @@
 		return null;
 	}
 
-	private void connect(Upstream upstream, Consumer<UpstreamConnection> done) {
+	private void connect(Upstream upstream, Consumer<Acquisition> done) {
 		UpstreamConnection connection = new UpstreamConnection(this, upstream, this.dialect);
 		Bootstrap bootstrap = new Bootstrap().group(this.loop)
 			.channel(NioSocketChannel.class)
@@ -167,7 +169,14 @@
 			});
 		ChannelFuture connecting = bootstrap.connect(Addresses.parse(upstream.address()));
 		connection.attach(connecting.channel());
-		connecting.addListener((future) -> done.accept(future.isSuccess() ? connection : null));
+		connecting.addListener((future) -> done
+			.accept(future.isSuccess() ? new Acquisition.Connected(connection) : failure(future.cause())));
+	}
+
+	// A timeout is a subtype of the exception of a refused connection.
+	private static Acquisition failure(Throwable cause) {
+		boolean refused = cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
+		return refused ? new Acquisition.Refused() : new Acquisition.Failed();
 	}
 
 }
