A router that receives nothing takes no engine for silent

The router's own lateness was measured by its timers, which are on time.

Before missing replies count, the router now queries a few peers; an answer to that query shows that its link is free and that it handles what it receives. Without an answer the engines are queried again, for 0.6 s at most, after which the router counts as cut off from its peers and judges as before. It costs a few datagrams a finding and the time of their answer. A router without peers judges as before.

--- a/whinjunction-router/src/main/java/io/whinjunction/router/EngineMonitor.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/EngineMonitor.java
@@ -84,6 +84,8 @@
 
 	private final CheckTimer timer;
 
+	private final ReceptionCheck reception;
+
 	private final Map<String, Long> queriedAtMs = new HashMap<>();
 
 	private final QueryBudget budget = new QueryBudget();
@@ -95,9 +97,12 @@
 	 * @param onChange is run when an engine becomes suspect or lost
 	 * @param leads whether this router plans repairs and therefore has to detect the loss
 	 * of any engine
+	 * @param reception checks whether this router receives replies in time
 	 */
-	EngineMonitor(RouterContext router, EngineControl engines, Runnable onChange, BooleanSupplier leads) {
+	EngineMonitor(RouterContext router, EngineControl engines, Runnable onChange, BooleanSupplier leads,
+			ReceptionCheck reception) {
 		this.leads = leads;
+		this.reception = reception;
 		this.router = router;
 		this.engines = engines;
 		this.onChange = onChange;
@@ -109,6 +114,11 @@
 		this.timer.checkWithin(CheckTimer.MAX_INTERVAL_MS);
 	}
 
+	/** Handles the answer of a peer to a query of this router. */
+	void peerAnswered() {
+		this.reception.peerAnswered();
+	}
+
 	void remove(Attempt stream) {
 		this.streams.remove(stream);
 	}
@@ -352,20 +362,55 @@
 				// The engine answered the query with its request for a backoff.
 				this.replies++;
 			}
-			else if (report.isPresent() || (wasPending && conclusive(queriedMs, QUERY_TIMEOUT_MS))) {
-				onSilent(upstream, report.isPresent());
+			else if (report.isPresent()) {
+				onSilent(upstream, true);
+			}
+			else if (wasPending && conclusive(queriedMs, QUERY_TIMEOUT_MS)) {
+				onNoReply(upstream);
 			}
 		}
 
+		private void onNoReply(Upstream upstream) {
+			EngineMonitor.this.reception.start(new ReceptionCheck.Findings() {
+
+				@Override
+				public void received() {
+					onSilent(upstream, false);
+				}
+
+				@Override
+				public void notReceived() {
+					EngineMonitor.this.queriedAtMs.remove(upstream.incarnation());
+				}
+
+			});
+		}
+
 		private void judge() {
 			boolean mostReplied = this.replies > this.pending.size();
 			if (mostReplied && conclusive(this.firstQueriedMs, EARLY_QUERY_TIMEOUT_MS)) {
-				List<Upstream> silent = List.copyOf(this.pending.values());
-				this.pending.clear();
-				silent.forEach((upstream) -> onSilent(upstream, false));
+				EngineMonitor.this.reception.start(new ReceptionCheck.Findings() {
+
+					@Override
+					public void received() {
+						endPending();
+					}
+
+					@Override
+					public void notReceived() {
+						// They are judged when the time limit of their replies is over.
+					}
+
+				});
 			}
 		}
 
+		private void endPending() {
+			List<Upstream> silent = List.copyOf(this.pending.values());
+			this.pending.clear();
+			silent.forEach((upstream) -> onSilent(upstream, false));
+		}
+
 	}
 
 	/** An engine that did not reply; confined to the monitor. */
--- a/whinjunction-router/src/main/java/io/whinjunction/router/PeerLink.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/PeerLink.java
@@ -116,7 +116,8 @@
 		return targets.size();
 	}
 
-	private void queryActive() {
+	/** Queries the status of a few peers. */
+	void queryActive() {
 		query(this.table.targets(FANOUT, this.router.nowMs()));
 	}
 
--- a/whinjunction-router/src/main/java/io/whinjunction/router/PeerMessageHandler.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/PeerMessageHandler.java
@@ -72,6 +72,9 @@
 			this.configurationSynchronizer.peerRestoreReceived(status.storeReturnAgeMs());
 		}
 		peers.update(status, this.router.nowMs());
+		if (status.answer()) {
+			this.router.engineMonitor().peerAnswered();
+		}
 		status.suspects().forEach(this.router.engineMonitor()::suspectReported);
 		this.configurationSynchronizer.peerVersionReceived(status.version(), peers.provedAtMs(status),
 				status.address());
--- a/whinjunction-router/src/main/java/io/whinjunction/router/PeerTable.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/PeerTable.java
@@ -66,6 +66,9 @@
 
 	private long sequence;
 
+	/** When the newest query that a peer answered was sent, on the clock of proofs. */
+	private long answeredQuerySentMs = NEVER_MS;
+
 	private long leaderSeenAtMs = NEVER_MS;
 
 	private long leaderLeftAtMs = NEVER_MS;
@@ -119,6 +122,10 @@
 		peer.status = status;
 		peer.receivedAtMs = nowMs;
 		this.active.update(status, nowMs);
+		if (status.answer()) {
+			this.answeredQuerySentMs = Math.max(this.answeredQuerySentMs,
+					this.sentAtMs.getOrDefault(status.sequence(), NEVER_MS));
+		}
 		updateLeader(status, nowMs);
 		addAddresses(status.routers());
 	}
@@ -144,6 +151,15 @@
 		return heldAtMs(status, status.list().ageMs());
 	}
 
+	/**
+	 * Returns whether a peer answered a query of this router.
+	 * @param sentMs the earliest time at which the query was sent, on the clock of proofs
+	 * @return whether an answer to such a query was received
+	 */
+	boolean answeredSince(long sentMs) {
+		return this.answeredQuerySentMs >= sentMs;
+	}
+
 	private long heldAtMs(PeerStatus status, long ageMs) {
 		Long sentMs = status.answer() ? this.sentAtMs.get(status.sequence()) : null;
 		return (sentMs == null || ageMs < 0) ? Long.MIN_VALUE : sentMs - ageMs;
--- a/whinjunction-router/src/main/java/io/whinjunction/router/Router.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/Router.java
@@ -162,7 +162,7 @@
 		this.pool = new UpstreamPool(this.loop, this.dialect, this.ticker, this.availability);
 		this.directory = new UpstreamDirectory((upstream) -> this.pool.drop(upstream.incarnation()));
 		this.engineMonitor = new EngineMonitor(this, ports.engines(), this::engineStateChanged,
-				() -> leadership().holds());
+				() -> leadership().holds(), new ReceptionCheck(this, () -> peerLink().queryActive()));
 		this.crashGuard = new CrashGuard(this, ports.store(), () -> peerLink().sendStatusNow());
 		this.store = ports.store();
 		this.engines = ports.engines();
