A request in progress can use engines of a kind that was added since

What callers saw: a stream that had begun was closed although an engine could go on with it. Cause: a request keeps the model of the configuration in which it began, and an engine whose kind that version does not list was left out. The choice now uses the newest model of the request's service; route, service and limits stay those of its beginning.

A further test, that a stream resumes while its key can't be proved, was not taken: until the proof is back it waits (BrokenStreamTests), since a key that was taken away must not run.

--- a/whinjunction-router/src/main/java/io/whinjunction/router/ForwardSession.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/ForwardSession.java
@@ -315,10 +315,19 @@
 	private TargetChooser.Criteria criteria(Set<String> excluded) {
 		Set<String> tried = this.answerBegun ? mayStillRunIt() : this.history.sentTo();
 		boolean again = RetryPolicy.onlyTriedUpstreams(this.route, tried.size());
-		return new TargetChooser.Criteria(this.service, expectedTokens(), excluded, again ? tried : null,
+		return new TargetChooser.Criteria(currentService(), expectedTokens(), excluded, again ? tried : null,
 				!this.answerBegun);
 	}
 
+	// A request keeps its route and service, but engines of a kind that was added since
+	// it
+	// began can serve it too.
+	private RoutedService currentService() {
+		RoutedService current = this.router.configuration().service(this.service.name());
+		boolean same = current != null && current.chained() == this.service.chained();
+		return same ? current : this.service;
+	}
+
 	// Upstreams that have ended, or that did not run the request, do not count as those
 	// that the route allows for an answer that has begun.
 	private Set<String> mayStillRunIt() {
@@ -453,7 +462,7 @@
 	 */
 	Optional<List<Hop>> detour(String faultyAddress, Hop first) {
 		recordFailureAt(faultyAddress);
-		TargetChooser.Criteria criteria = new TargetChooser.Criteria(this.service, expectedTokens(),
+		TargetChooser.Criteria criteria = new TargetChooser.Criteria(currentService(), expectedTokens(),
 				this.history.failedAt(), null, false);
 		return this.router.chooser().detour(criteria, first, this.router.nowMs());
 	}
