A second busy spell and replies that are late by a little condemn no engine

The time without an answer of a peer was cleared only by an answer within a check, so that a second busy spell, however much later, counted as one long time with the first. And a peer's answer shows that the link is free now: replies that came after their time limit, just before it, had been dropped. An engine is queried once more after the peer's answer before it is judged. Streams over an engine that was regained, and that do not go on, are sent again: it may have restarted.

--- a/whinjunction-router/src/main/java/io/whinjunction/router/EngineMonitor.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/EngineMonitor.java
@@ -25,10 +25,11 @@
  * a status query. An engine that does not reply, or no longer holds its layers, is
  * avoided by all routers for a while, and the streams that wait for it fail over.
  * <p>
- * Invariant: an engine is queried at most once per {@link #QUERY_INTERVAL_MS}, and while
- * it is suspect once per {@link #SUSPECT_QUERY_INTERVAL_MS}, so that status queries do
- * not slow a slow fleet down further, and not at all while it requests a backoff.
- * Confined to the event loop.
+ * Invariant: an engine whose streams are late is queried at most once per
+ * {@link #QUERY_INTERVAL_MS}, and while it is suspect, or this router itself receives
+ * nothing, once per {@link #SUSPECT_QUERY_INTERVAL_MS}, each time once more where it does
+ * not reply, so that status queries do not slow a slow fleet down further, and not at all
+ * while it requests a backoff. Confined to the event loop.
  */
 final class EngineMonitor {
 
@@ -67,6 +68,15 @@
 	 */
 	private static final long REPORTED_BACKOFF_MS = 700;
 
+	/**
+	 * How long a stream has to go on after an engine of its path was regained, in
+	 * milliseconds: longer than a pass of a slow engine.
+	 */
+	private static final long RESUMPTION_MS = 150;
+
+	/** How long a regained engine is remembered, in milliseconds. */
+	private static final long REGAINED_REMEMBERED_MS = 5_000;
+
 	/** The number of unanswered status queries after which an engine is replaced. */
 	private static final int LOST_AFTER_UNANSWERED = 2;
 
@@ -88,6 +98,9 @@
 
 	private final Map<String, Long> queriedAtMs = new HashMap<>();
 
+	/** When engines replied again that had been found silent. */
+	private final Map<String, Long> regainedAtMs = new HashMap<>();
+
 	private final QueryBudget budget = new QueryBudget();
 
 	/**
@@ -167,6 +180,15 @@
 		return this.streams.stream().anyMatch((stream) -> stream.target().engineIds().contains(incarnation));
 	}
 
+	/**
+	 * Returns whether this router itself found an engine silent.
+	 * @param engineId the incarnation of the engine
+	 * @return whether it did, and the engine has not replied since
+	 */
+	boolean suspects(String engineId) {
+		return this.suspicions.containsKey(engineId);
+	}
+
 	private void check() {
 		if (this.streams.isEmpty() && this.suspicions.isEmpty()) {
 			return;
@@ -242,11 +264,24 @@
 	private void failOverFromSuspects(Map<Attempt, StallRules.Pause> pauses) {
 		pauses.forEach((stream, pause) -> {
 			if (StallRules.shouldFailOver(pause)) {
-				suspectOf(stream).ifPresent(stream::stalled);
+				suspectOf(stream).or(() -> regainedOf(stream)).ifPresent(stream::stalled);
 			}
 		});
 	}
 
+	// An engine that restarted has lost what it ran; the engines before it on the path
+	// notice that only after seconds.
+	private Optional<String> regainedOf(Attempt stream) {
+		if (this.regainedAtMs.isEmpty()) {
+			return Optional.empty();
+		}
+		long beforeMs = this.router.nowMs() - RESUMPTION_MS;
+		return stream.target().path().stream().filter((hop) -> {
+			Long regainedMs = this.regainedAtMs.get(hop.engine().id());
+			return regainedMs != null && regainedMs > stream.progressAtMs() && regainedMs < beforeMs;
+		}).map((hop) -> hop.engine().address()).findFirst();
+	}
+
 	private Optional<String> suspectOf(Attempt stream) {
 		return stream.target()
 			.path()
@@ -291,6 +326,9 @@
 		Suspicion cleared = this.suspicions.remove(upstream.incarnation());
 		if (cleared != null && state != null) {
 			state.avoidUntil(Long.MIN_VALUE);
+			long nowMs = this.router.nowMs();
+			this.regainedAtMs.values().removeIf((atMs) -> nowMs - atMs > REGAINED_REMEMBERED_MS);
+			this.regainedAtMs.put(upstream.incarnation(), nowMs);
 			logger.atInfo()
 				.log("event=engine-regained engine=%s address=%s", upstream.incarnation(), upstream.address());
 		}
@@ -374,30 +412,45 @@
 			EngineMonitor.this.reception.start(new ReceptionCheck.Findings() {
 
 				@Override
-				public void received() {
-					onSilent(upstream, false);
+				public void conclusive() {
+					queryOnceMore(upstream);
 				}
 
 				@Override
-				public void notReceived() {
+				public void inconclusive() {
 					EngineMonitor.this.queriedAtMs.remove(upstream.incarnation());
 				}
 
 			});
 		}
 
+		// A late reply to the first query was lost with it.
+		private void queryOnceMore(Upstream upstream) {
+			long nowMs = EngineMonitor.this.router.nowMs();
+			this.pending.put(upstream.incarnation(), upstream);
+			EngineMonitor.this.engines.queryStatus(upstream, EARLY_QUERY_TIMEOUT_MS, (report) -> {
+				if (report.isPresent()) {
+					onReply(upstream, nowMs, report);
+				}
+				else if (this.pending.remove(upstream.incarnation()) != null
+						&& EngineMonitor.this.conclusive(nowMs, EARLY_QUERY_TIMEOUT_MS)) {
+					onSilent(upstream, false);
+				}
+			});
+		}
+
 		private void judge() {
 			boolean mostReplied = this.replies > this.pending.size();
 			if (mostReplied && conclusive(this.firstQueriedMs, EARLY_QUERY_TIMEOUT_MS)) {
 				EngineMonitor.this.reception.start(new ReceptionCheck.Findings() {
 
 					@Override
-					public void received() {
+					public void conclusive() {
 						endPending();
 					}
 
 					@Override
-					public void notReceived() {
+					public void inconclusive() {
 						// They are judged when the time limit of their replies is over.
 					}
 
--- a/whinjunction-router/src/main/java/io/whinjunction/router/ReceptionCheck.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/ReceptionCheck.java
@@ -15,7 +15,8 @@
  * occupies the link of its instance for longer than a status query waits for its reply,
  * and all streams over the link pause. The answer of a peer to a query that is sent after
  * the engines' time was over shows that the link is free and that this process handles
- * what it receives.
+ * what it receives now; replies that were late until then are lost, so the engines are
+ * queried once more before they are judged.
  * <p>
  * Invariant: at most one check is under way. Confined to the event loop.
  */
@@ -30,7 +31,7 @@
 	 * The time without an answer of any peer, in milliseconds, after which missing
 	 * replies count as evidence again: this router may be cut off from its peers.
 	 */
-	private static final long MAX_UNANSWERED_MS = 600;
+	private static final long MAX_UNANSWERED_MS = 400;
 
 	private static final long NONE_MS = -1;
 
@@ -65,7 +66,7 @@
 	 */
 	void start(Findings findings) {
 		if (this.router.peers().routerCount(this.router.nowMs()) == 1) {
-			findings.received();
+			findings.conclusive();
 			return;
 		}
 		this.pending.add(findings);
@@ -78,10 +79,13 @@
 
 	/** Handles the answer of a peer to a query of this router. */
 	void peerAnswered() {
-		if (this.timeout != null && this.router.peers().answeredSince(this.queriedMs)) {
+		if (!this.router.peers().answeredSince(this.queriedMs)) {
+			return;
+		}
+		this.unansweredSinceMs = NONE_MS;
+		if (this.timeout != null) {
 			this.timeout.cancel(false);
-			this.unansweredSinceMs = NONE_MS;
-			end().forEach(Findings::received);
+			end().forEach(Findings::conclusive);
 		}
 	}
 
@@ -93,7 +97,7 @@
 		long unansweredMs = nowMs - this.unansweredSinceMs;
 		List<Findings> ended = end();
 		logger.atWarning().log("event=nothing-received findings=%d unanswered-ms=%d", ended.size(), unansweredMs);
-		ended.forEach((unansweredMs > MAX_UNANSWERED_MS) ? Findings::received : Findings::notReceived);
+		ended.forEach((unansweredMs > MAX_UNANSWERED_MS) ? Findings::conclusive : Findings::inconclusive);
 	}
 
 	private List<Findings> end() {
@@ -106,11 +110,11 @@
 	/** What follows from a check. */
 	interface Findings {
 
-		/** Missing replies are evidence against the engines. */
-		void received();
+		/** This router receives replies in time. */
+		void conclusive();
 
-		/** This router itself received nothing; the engines have to be queried again. */
-		void notReceived();
+		/** This router itself receives nothing; missing replies prove nothing. */
+		void inconclusive();
 
 	}
 
