Silence ends no answer that has begun, and rejections end it at once

Found by review. A stream that may not be resumed was still closed when its engine was silent for a moment. A stalled stream without another engine was abandoned for the same silent engine, seven times in 1.5 s. A resumption that an engine answered with 400 was repeated thirteen times in 5 s at the cost of the shared budget. A stream that waits without an attempt was held past its route's timeout. A crash under a resumed stream counted as one under a request without results.

Now no begun answer is ended by silence, an engine that is still silent is no other path, a rejection ends the answer, and the wait ends at the route's timeout.

--- a/whinjunction-router/src/main/java/io/whinjunction/router/Attempt.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/Attempt.java
@@ -477,6 +477,10 @@
 			this.session.onEvents(this.answer, this.answer.body());
 			this.session.onStreamEnd(this.answer);
 		}
+		else if (this.head.status() < HttpResponseStatus.INTERNAL_SERVER_ERROR.code()) {
+			settle();
+			this.session.onResumptionRejected("status-" + this.head.status());
+		}
 		else {
 			end(new AttemptOutcome.Failed("status-" + this.head.status()), this.head.faultyAddress());
 		}
@@ -515,7 +519,8 @@
 			this.session.ranWell();
 		}
 		else {
-			this.session.recordCrash(this.target.first(), this.streaming && this.eventBatches == 0);
+			boolean first = this.eventBatches == 0 && !this.session.answerBegun();
+			this.session.recordCrash(this.target.first(), this.streaming && first);
 		}
 	}
 
--- a/whinjunction-router/src/main/java/io/whinjunction/router/ForwardSession.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/ForwardSession.java
@@ -212,7 +212,7 @@
 
 	private void onAnswerOverTime() {
 		long leftMs = leftMs();
-		if (leftMs > 0) {
+		if (leftMs > 0 && this.attempt != null) {
 			// The route's limit applies to callers that have no answer yet; events that
 			// arrive are delivered until the caller's own deadline.
 			this.timeout = this.router.loop().schedule(this::onTimeout, leftMs, TimeUnit.MILLISECONDS);
@@ -304,7 +304,11 @@
 		Optional<Target> target = this.router.chooser().choose(criteria, this.router.nowMs());
 		if (target.isEmpty() && this.answerBegun) {
 			// What failed a while ago may work again, and there may be nothing else.
-			target = this.router.chooser().choose(criteria(Set.of()), this.router.nowMs());
+			Set<String> stillSilent = this.history.failedAt()
+				.stream()
+				.filter(this.router.engineMonitor()::suspects)
+				.collect(Collectors.toUnmodifiableSet());
+			target = this.router.chooser().choose(criteria(stillSilent), this.router.nowMs());
 		}
 		if (target.isEmpty() && this.obstacle != RetryObstacle.NO_UPSTREAM) {
 			RequestLog.noTarget(this, this.router.chooser().unusable(criteria, this.router.nowMs()));
@@ -391,6 +395,10 @@
 	}
 
 	private void waitToResume(RetryObstacle next, String reason) {
+		if (this.router.nowMs() - this.startedMs >= this.route.limits().timeoutMs()) {
+			giveUp(RetryObstacle.NO_TIME, reason);
+			return;
+		}
 		if (next != this.obstacle) {
 			RequestLog.waits(this, next, reason);
 		}
@@ -404,14 +412,14 @@
 	}
 
 	/**
-	 * Ends the attempt under way because it waits for an engine that does not respond,
-	 * unless it is the only one that can go on with an answer that has begun: the engine
-	 * may respond again.
+	 * Ends the attempt under way because it waits for an engine that does not respond. An
+	 * answer that has begun is not ended by silence alone: the engine may respond again,
+	 * and its caller has no other way to the rest.
 	 * @param address the engine
 	 */
 	void onStalled(String address) {
 		Attempt stalled = this.attempt;
-		if (stalled == null || this.done || (this.answerBegun && this.route.repeatable() && replayable())) {
+		if (stalled == null || this.done || this.answerBegun) {
 			return;
 		}
 		stalled.abandon();
@@ -467,6 +475,16 @@
 		return this.router.chooser().detour(criteria, first, this.router.nowMs());
 	}
 
+	/**
+	 * Ends an answer that has begun, because an upstream stated that it will never resume
+	 * it.
+	 * @param reason the reason, for logs
+	 */
+	void onResumptionRejected(String reason) {
+		this.attempt = null;
+		giveUp(RetryObstacle.NOT_RESUMABLE, reason);
+	}
+
 	private boolean repeatGranted() {
 		return this.router.budget(this.service.name())
 			.tryRepeat(this.router.nowMs(), this.router.peers().routerCount(this.router.nowMs()));
