Routers lend unused retries to each other

Cause: the fleet's retry budget (a ratio of the requests plus a slack, in a sliding window) is cut into fixed parts of a few retries each. An engine that ends breaks several streams of one router at once; that router has none left while the fleet has used a fifth of what it may.

Change: a router that refuses a retry to an answer that has begun asks one random active peer for one of its share and uses it at the stream's next check. The lender keeps one for itself and counts a loan one bucket longer than a retry of its own; the borrower uses it at most one bucket length after it asked, on a clock that counts suspensions. So lender and borrower are never both outside the window, also if datagrams are lost, late or duplicated. Numbers of questions are random, answers are accepted once. A question names the number of routers that the borrower knows, since a lender that has just started knows few and would lend the slack of the whole fleet. Requests without an answer borrow nothing. A borrowed retry that reached no upstream is dropped.

New: events retry-lent and retry-borrowed, metric whin_router_retry_loans_total.

--- a/whinjunction-core/src/main/java/io/whinjunction/forward/FleetRetryBudget.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/forward/FleetRetryBudget.java
@@ -1,7 +1,5 @@
 package io.whinjunction.forward;
 
-import java.util.Arrays;
-
 /**
  * This process's share of the retries that all routers together may send to one service.
  * <p>
@@ -12,7 +10,13 @@
  * that partitioned, new and replaced routers, which have no record of what was spent
  * before, cannot push the sum over the bound.
  * <p>
- * Invariant: in each window of complete buckets, retries are at most
+ * A process that needs none of its share lends retries to others. A loan is valid at the
+ * borrower for at most one bucket after it was requested, and is counted here one bucket
+ * longer than a retry of this process's own: it is counted for a whole window after its
+ * latest possible use, so that the ratio and the slack still hold for the sum. A clock
+ * that does not count suspensions only lets the lender count it longer.
+ * <p>
+ * Invariant: in each window of complete buckets, retries and loans are at most
  * {@link #RATIO_MARGIN} of the ratio times this process's requests plus its share of the
  * slack. Not thread-safe: confined to the event loop.
  */
@@ -34,11 +38,11 @@
 
 	private final long bucketMs;
 
-	private final int[] requests = new int[BUCKETS + 1];
+	private final SlidingCount requests;
 
-	private final int[] retries = new int[BUCKETS + 1];
+	private final SlidingCount retries;
 
-	private long bucket = Long.MIN_VALUE;
+	private final SlidingCount loans;
 
 	/**
 	 * Creates a share of the budget.
@@ -50,6 +54,9 @@
 		this.ratio = ratio;
 		this.slack = slack;
 		this.bucketMs = windowMs / BUCKETS;
+		this.requests = new SlidingCount(BUCKETS + 1, this.bucketMs);
+		this.retries = new SlidingCount(BUCKETS + 1, this.bucketMs);
+		this.loans = new SlidingCount(BUCKETS + 2, this.bucketMs);
 	}
 
 	/**
@@ -57,7 +64,7 @@
 	 * @param nowMs the current time
 	 */
 	public void requested(long nowMs) {
-		this.requests[advance(nowMs)]++;
+		this.requests.add(nowMs, 1);
 	}
 
 	/**
@@ -67,35 +74,49 @@
 	 * @return whether the retry is granted
 	 */
 	public boolean tryRepeat(long nowMs, int routers) {
-		int index = advance(nowMs);
-		double allowed = RATIO_MARGIN * this.ratio * Arrays.stream(this.requests).sum()
-				+ Math.floor(this.slack / (SLACK_DIVISOR * Math.max(1, routers)));
-		if (Arrays.stream(this.retries).sum() + 1 > allowed) {
+		if (left(nowMs, routers) < 1) {
+			return false;
+		}
+		this.retries.add(nowMs, 1);
+		return true;
+	}
+
+	/**
+	 * Lends one retry to another process, unless it is the last one of this process.
+	 * @param nowMs the current time
+	 * @param routers the number of routers
+	 * @return whether it is lent
+	 */
+	public boolean lend(long nowMs, int routers) {
+		if (left(nowMs, routers) < 2) {
 			return false;
 		}
-		this.retries[index]++;
+		this.loans.add(nowMs, 1);
 		return true;
 	}
 
+	/**
+	 * Returns for how long a borrower may use a loan.
+	 * @return milliseconds since it requested the loan, on a clock that counts
+	 * suspensions
+	 */
+	public long loanValidityMs() {
+		return this.bucketMs;
+	}
+
+	private double left(long nowMs, int routers) {
+		return RATIO_MARGIN * this.ratio * this.requests.sum(nowMs)
+				+ Math.floor(this.slack / (SLACK_DIVISOR * Math.max(1, routers))) - this.retries.sum(nowMs)
+				- this.loans.sum(nowMs);
+	}
+
 	/**
 	 * Returns a retry that reached no upstream. It is not returned after the time in
 	 * which it was acquired is over.
 	 * @param nowMs the current time
 	 */
 	public void returnRepeat(long nowMs) {
-		int index = advance(nowMs);
-		this.retries[index] = Math.max(0, this.retries[index] - 1);
-	}
-
-	private int advance(long nowMs) {
-		long now = nowMs / this.bucketMs;
-		long from = Math.max(this.bucket + 1, now - BUCKETS);
-		for (long passed = from; passed <= now; passed++) {
-			this.requests[(int) Math.floorMod(passed, (long) BUCKETS + 1)] = 0;
-			this.retries[(int) Math.floorMod(passed, (long) BUCKETS + 1)] = 0;
-		}
-		this.bucket = Math.max(this.bucket, now);
-		return (int) Math.floorMod(this.bucket, (long) BUCKETS + 1);
+		this.retries.takeBack(nowMs);
 	}
 
 }
--- a/whinjunction-core/src/test/java/io/whinjunction/forward/RetryLoanLoadTests.java
+++ b/whinjunction-core/src/test/java/io/whinjunction/forward/RetryLoanLoadTests.java
@@ -33,6 +33,12 @@
 
 	private static final long IN_TIME_MS = 250;
 
+	/** The longest time of one message, in milliseconds. */
+	private static final int MAX_DELAY_MS = 5;
+
+	/** The part of messages that are lost. */
+	private static final double LOST = 0.02;
+
 	private final List<Node> routers = new ArrayList<>();
 
 	private final Queue<Event> events = new PriorityQueue<>(Comparator.comparingLong(Event::atMs));
@@ -92,14 +98,36 @@
 			this.inTime++;
 			return;
 		}
+		if (router.borrowed.use(this.nowMs)) {
+			this.inTime++;
+			return;
+		}
+		ask(router);
 		this.events.add(new Event(this.nowMs + pauses.nextMs(RetryObstacle.NO_BUDGET), () -> check(router, pauses)));
 	}
 
+	private void ask(Node borrower) {
+		Node lender = this.routers.get(this.random.nextInt(ROUTERS));
+		borrower.borrowed.ask(this.nowMs).ifPresent((number) -> send(() -> {
+			boolean lent = lender.budget.lend(this.nowMs, ROUTERS);
+			send(() -> borrower.borrowed.answered(number, lent, this.nowMs));
+		}));
+	}
+
+	private void send(Runnable delivery) {
+		if (this.random.nextDouble() >= LOST) {
+			this.events.add(new Event(this.nowMs + 1 + this.random.nextInt(MAX_DELAY_MS), delivery));
+		}
+	}
+
 	/** A router. */
-	private static final class Node {
+	private final class Node {
 
 		private final FleetRetryBudget budget = new FleetRetryBudget(RATIO, SLACK, WINDOW_MS);
 
+		private final BorrowedRetries borrowed = new BorrowedRetries(this.budget.loanValidityMs(),
+				RetryLoanLoadTests.this.random);
+
 	}
 
 	private record Event(long atMs, Runnable action) {
--- a/whinjunction-protocol/src/main/thrift/router.thrift
+++ b/whinjunction-protocol/src/main/thrift/router.thrift
@@ -115,6 +115,23 @@
   1: required list<UpstreamLimitWord> words
 }
 
+/* Requests one retry of the receiver's share of the retry budget. */
+struct RetryQuestion {
+  /* Random number of the question; the answer repeats it. */
+  1: required i64 number
+  2: required string serviceName
+  /* Routers that the sender knows, itself included. */
+  3: required i32 routers
+}
+
+/* Answers a RetryQuestion. */
+struct RetryAnswer {
+  1: required i64 number
+  2: required string serviceName
+  /* One retry is lent. */
+  3: required bool lent
+}
+
 /* Content of a datagram. */
 union RouterMessage {
   1: RouterStatus status
@@ -122,4 +139,6 @@
   3: ChangesAnswer changesAnswer
   4: CrashReports crashReports
   5: UpstreamLimitWords limits
+  6: RetryQuestion retryQuestion
+  7: RetryAnswer retryAnswer
 }
--- a/whinjunction-router/src/main/java/io/whinjunction/router/ForwardSession.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/ForwardSession.java
@@ -92,6 +92,9 @@
 	/** Whether the newest attempt was taken from the retry budget. */
 	private boolean repeat;
 
+	/** Whether the newest repeat was lent by another router. */
+	private boolean borrowed;
+
 	/** When a request that crashes upstreams may be retried, in milliseconds. */
 	private long crashRetryAfterMs = RETRY_AFTER_MS;
 
@@ -353,7 +356,7 @@
 		this.attempt = null;
 		avoid(ended, end, faultyAddress);
 		RequestLog.attemptEnded(this, ended, end, faultyAddress);
-		if (end instanceof AttemptOutcome.NotSent && this.repeat) {
+		if (end instanceof AttemptOutcome.NotSent && this.repeat && !this.borrowed) {
 			this.router.budget(this.service.name()).returnRepeat(this.router.nowMs());
 		}
 		if (this.done) {
@@ -485,9 +488,16 @@
 		giveUp(RetryObstacle.NOT_RESUMABLE, reason);
 	}
 
+	// Only an answer that has begun borrows: otherwise a refusal is true, and its caller
+	// can go elsewhere.
 	private boolean repeatGranted() {
-		return this.router.budget(this.service.name())
+		boolean own = this.router.budget(this.service.name())
 			.tryRepeat(this.router.nowMs(), this.router.peers().routerCount(this.router.nowMs()));
+		this.borrowed = !own && this.answerBegun && this.router.retryLoans().use(this.service.name());
+		if (!own && !this.borrowed && this.answerBegun) {
+			this.router.retryLoans().ask(this.service.name());
+		}
+		return own || this.borrowed;
 	}
 
 	private void avoid(Attempt ended, AttemptOutcome end, String faultyAddress) {
--- a/whinjunction-router/src/main/java/io/whinjunction/router/PeerCodec.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/PeerCodec.java
@@ -11,6 +11,8 @@
 import io.whinjunction.protocol.generated.CrashReport;
 import io.whinjunction.protocol.generated.CrashReports;
 import io.whinjunction.protocol.generated.ListedUpstream;
+import io.whinjunction.protocol.generated.RetryAnswer;
+import io.whinjunction.protocol.generated.RetryQuestion;
 import io.whinjunction.protocol.generated.RouterMessage;
 import io.whinjunction.protocol.generated.RouterStatus;
 import io.whinjunction.protocol.generated.UpstreamCrash;
@@ -51,6 +53,10 @@
 				RouterMessage.limits(new UpstreamLimitWords(limits.limits().stream().map(PeerCodec::encoded).toList()));
 			case PeerMessage.CrashReports reports -> RouterMessage
 				.crashReports(new CrashReports(reports.histories().stream().map(PeerCodec::encoded).toList()));
+			case PeerMessage.RetryQuestion question -> RouterMessage
+				.retryQuestion(new RetryQuestion(question.number(), question.service(), question.routers()));
+			case PeerMessage.RetryAnswer answer ->
+				RouterMessage.retryAnswer(new RetryAnswer(answer.number(), answer.service(), answer.lent()));
 		};
 		try {
 			return this.serializer.serialize(encoded);
@@ -125,6 +131,12 @@
 		if (message.isSetCrashReports()) {
 			return Optional.of(decoded(message.getCrashReports()));
 		}
+		if (message.isSetRetryQuestion()) {
+			return Optional.of(decoded(message.getRetryQuestion()));
+		}
+		if (message.isSetRetryAnswer()) {
+			return Optional.of(decoded(message.getRetryAnswer()));
+		}
 		return message.isSetChangesAnswer() ? decoded(message.getChangesAnswer()) : Optional.empty();
 	}
 
@@ -135,6 +147,14 @@
 			.toList());
 	}
 
+	private static PeerMessage decoded(RetryQuestion question) {
+		return new PeerMessage.RetryQuestion(question.getNumber(), question.getServiceName(), question.getRouters());
+	}
+
+	private static PeerMessage decoded(RetryAnswer answer) {
+		return new PeerMessage.RetryAnswer(answer.getNumber(), answer.getServiceName(), answer.isLent());
+	}
+
 	private static PeerMessage decoded(CrashReports reports) {
 		return new PeerMessage.CrashReports(reports.getReports().stream().map(PeerCodec::decoded).toList());
 	}
--- a/whinjunction-router/src/main/java/io/whinjunction/router/PeerLink.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/PeerLink.java
@@ -154,6 +154,15 @@
 		send(this.codec.encode(new PeerMessage.ChangesQuestion(after)), Addresses.parse(address));
 	}
 
+	/**
+	 * Requests a retry from a peer.
+	 * @param address the address at which the peer receives messages
+	 * @param question the question
+	 */
+	void requestRetry(String address, PeerMessage.RetryQuestion question) {
+		send(this.codec.encode(question), Addresses.parse(address));
+	}
+
 	private void receive(DatagramPacket packet) {
 		Optional<PeerMessage> message = this.codec.decode(ByteBufUtil.getBytes(packet.content()));
 		if (message.isEmpty()) {
@@ -173,6 +182,10 @@
 			case PeerMessage.ChangesAnswer answer -> this.handler.onChanges(answer.changes());
 			case PeerMessage.CrashReports reports -> this.handler.onCrashReports(reports);
 			case PeerMessage.Limits limits -> this.handler.onLimits(limits);
+			case PeerMessage.RetryQuestion question ->
+				send(this.codec.encode(new PeerMessage.RetryAnswer(question.number(), question.service(),
+						this.handler.lendsRetry(question))), packet.sender());
+			case PeerMessage.RetryAnswer answer -> this.handler.onRetryAnswer(answer);
 		}
 	}
 
@@ -228,6 +241,19 @@
 		 */
 		void onLimits(PeerMessage.Limits limits);
 
+		/**
+		 * Lends a retry to a peer if this router's share allows it.
+		 * @param question the question of the peer
+		 * @return whether it is lent
+		 */
+		boolean lendsRetry(PeerMessage.RetryQuestion question);
+
+		/**
+		 * Processes the answer of a peer that was asked for a retry.
+		 * @param answer the answer
+		 */
+		void onRetryAnswer(PeerMessage.RetryAnswer answer);
+
 	}
 
 }
--- a/whinjunction-router/src/main/java/io/whinjunction/router/PeerMessage.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/PeerMessage.java
@@ -9,7 +9,7 @@
  * Content of a datagram between routers. Immutable.
  */
 sealed interface PeerMessage permits PeerStatus, PeerMessage.ChangesQuestion, PeerMessage.ChangesAnswer,
-		PeerMessage.CrashReports, PeerMessage.Limits {
+		PeerMessage.CrashReports, PeerMessage.Limits, PeerMessage.RetryQuestion, PeerMessage.RetryAnswer {
 
 	/**
 	 * Requests the changes of the list of upstreams.
@@ -42,6 +42,26 @@
 
 	}
 
+	/**
+	 * Requests one retry of the receiving router's share of the retry budget.
+	 *
+	 * @param number the random number of the question
+	 * @param service the service to which the retry is to be sent
+	 * @param routers the number of routers that the sender knows, itself included
+	 */
+	record RetryQuestion(long number, String service, int routers) implements PeerMessage {
+	}
+
+	/**
+	 * Answers a {@link RetryQuestion}.
+	 *
+	 * @param number the number of the question
+	 * @param service the service of the question
+	 * @param lent whether the sender lends one retry
+	 */
+	record RetryAnswer(long number, String service, boolean lent) implements PeerMessage {
+	}
+
 	/**
 	 * Reports the requests during which upstreams crashed.
 	 *
--- a/whinjunction-router/src/main/java/io/whinjunction/router/PeerMessageHandler.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/PeerMessageHandler.java
@@ -115,4 +115,14 @@
 		this.router.limits().received(limits.limits());
 	}
 
+	@Override
+	public boolean lendsRetry(PeerMessage.RetryQuestion question) {
+		return this.router.retryLoans().lend(question);
+	}
+
+	@Override
+	public void onRetryAnswer(PeerMessage.RetryAnswer answer) {
+		this.router.retryLoans().answered(answer);
+	}
+
 }
--- a/whinjunction-router/src/main/java/io/whinjunction/router/Router.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/Router.java
@@ -121,6 +121,8 @@
 
 	private final Map<String, FleetRetryBudget> budgets = new HashMap<>();
 
+	private final RetryLoans retryLoans;
+
 	private final Set<CallerConnection> callers = new HashSet<>();
 
 	private final Runnable onFatal;
@@ -182,6 +184,7 @@
 		this.peerLink = new PeerLink(this, this.peers,
 				new PeerMessageHandler(this, settings, this.configurationSynchronizer, this.directorySynchronizer,
 						this.layerReconciler, this.leadership, ports.store().era()));
+		this.retryLoans = new RetryLoans(this, this.peerLink::requestRetry);
 		ports.store().era().onRestore(this::storeRestored);
 	}
 
@@ -438,6 +441,11 @@
 				(name) -> new FleetRetryBudget(bounds.repeatRatio(), bounds.repeatSlack(), bounds.repeatWindowMs()));
 	}
 
+	@Override
+	public RetryLoans retryLoans() {
+		return this.retryLoans;
+	}
+
 	@Override
 	public PeerTable peers() {
 		return this.peers;
--- a/whinjunction-router/src/main/java/io/whinjunction/router/RouterContext.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/RouterContext.java
@@ -82,6 +82,12 @@
 	 */
 	FleetRetryBudget budget(String service);
 
+	/**
+	 * Returns the repeats that routers lend to each other.
+	 * @return the loans
+	 */
+	RetryLoans retryLoans();
+
 	/**
 	 * Returns the guard that refuses requests that crash upstreams.
 	 * @return the guard
--- a/whinjunction-router/src/main/java/io/whinjunction/router/RouterMetrics.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/RouterMetrics.java
@@ -35,6 +35,13 @@
 		.labelNames("end")
 		.register(this.registry);
 
+	private final Counter retryLoans = Counter.builder()
+		.name("whin_router_retry_loans_total")
+		.help("Retries of the budget that routers lend to each other, by event: lent, borrowed, used")
+		.withoutExemplars()
+		.labelNames("event")
+		.register(this.registry);
+
 	private final Counter storeCalls = Counter.builder()
 		.name("whin_router_store_calls_total")
 		.help("Calls to the platform's store by call and result")
@@ -93,6 +100,14 @@
 		this.firstEvent.observe(tookMs / 1000.0);
 	}
 
+	/**
+	 * Counts a retry that is lent between routers.
+	 * @param event what happened, one of a few words
+	 */
+	public void retryLoan(String event) {
+		this.retryLoans.labelValues(event).inc();
+	}
+
 	/**
 	 * Counts a call to the platform's store.
 	 * @param call the kind of call
--- a/whinjunction-router/src/test/java/io/whinjunction/router/PeerLinkTests.java
+++ b/whinjunction-router/src/test/java/io/whinjunction/router/PeerLinkTests.java
@@ -4,9 +4,12 @@
 import java.net.DatagramSocket;
 import java.net.InetSocketAddress;
 import java.net.SocketException;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Random;
+import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
 
@@ -26,6 +29,10 @@
  */
 class PeerLinkTests {
 
+	private static final String SERVICE = "a-service";
+
+	private final BlockingQueue<PeerMessage.RetryAnswer> retryAnswers = new LinkedBlockingQueue<>();
+
 	private final EventLoopGroup group = new NioEventLoopGroup(1);
 
 	@AfterEach
@@ -60,6 +67,38 @@
 		second.close().sync();
 	}
 
+	// Guards against an answer to another question: its number and service must return
+	// as they were sent.
+	@Test
+	void theAnswerOfALenderRepeatsTheNumberAndTheServiceOfTheQuestion() throws Exception {
+		InetSocketAddress answering = freeAddress();
+		Channel first = bound(link(answering, null, new CompletableFuture<>()).start(answering));
+		InetSocketAddress requesting = freeAddress();
+		PeerLink link = link(requesting, null, new CompletableFuture<>());
+		Channel second = bound(link.start(requesting));
+		String address = answering.getAddress().getHostAddress() + ":" + answering.getPort();
+
+		link.requestRetry(address, new PeerMessage.RetryQuestion(Long.MIN_VALUE, SERVICE, 88));
+		link.requestRetry(address, new PeerMessage.RetryQuestion(7, "another-service", 88));
+
+		assertThat(this.retryAnswers.poll(5, TimeUnit.SECONDS))
+			.isEqualTo(new PeerMessage.RetryAnswer(Long.MIN_VALUE, SERVICE, true));
+		assertThat(this.retryAnswers.poll(5, TimeUnit.SECONDS))
+			.isEqualTo(new PeerMessage.RetryAnswer(7, "another-service", false));
+		first.close().sync();
+		second.close().sync();
+	}
+
+	// Guards against a message without a service, which would be a question about none.
+	@Test
+	void aQuestionWithoutAServiceIsIgnored() {
+		PeerCodec codec = new PeerCodec();
+		byte[] whole = codec.encode(new PeerMessage.RetryQuestion(7, SERVICE, 88));
+
+		assertThat(codec.decode(whole)).contains(new PeerMessage.RetryQuestion(7, SERVICE, 88));
+		assertThat(codec.decode(Arrays.copyOf(whole, whole.length - SERVICE.length()))).isEmpty();
+	}
+
 	private PeerLink link(InetSocketAddress own, UpstreamChanges changes, CompletableFuture<UpstreamChanges> received) {
 		EventLoop loop = this.group.next();
 		RouterContext context = (RouterContext) Proxy.newProxyInstance(getClass().getClassLoader(),
@@ -99,6 +138,16 @@
 			public void onLimits(PeerMessage.Limits limits) {
 			}
 
+			@Override
+			public boolean lendsRetry(PeerMessage.RetryQuestion question) {
+				return question.service().equals(SERVICE) && question.routers() == 88;
+			}
+
+			@Override
+			public void onRetryAnswer(PeerMessage.RetryAnswer answer) {
+				PeerLinkTests.this.retryAnswers.add(answer);
+			}
+
 		});
 	}
 
