A refused check does not change where the attempt under way came from

A stalled stream asks for a retry while its attempt goes on. A refusal would have marked a borrowed attempt as one of the own share, which got it back if it then reached no upstream.

--- a/whinjunction-router/src/main/java/io/whinjunction/router/ForwardSession.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/ForwardSession.java
@@ -493,11 +493,19 @@
 	private boolean repeatGranted() {
 		boolean own = this.router.budget(this.service.name())
 			.tryRepeat(this.router.nowMs(), this.router.peers().routerCount(this.router.nowMs()));
-		this.borrowed = !own && this.answerBegun && this.router.retryLoans().use(this.service.name());
-		if (!own && !this.borrowed && this.answerBegun) {
-			this.router.retryLoans().ask(this.service.name());
+		if (own) {
+			this.borrowed = false;
+			return true;
 		}
-		return own || this.borrowed;
+		if (!this.answerBegun) {
+			return false;
+		}
+		if (this.router.retryLoans().use(this.service.name())) {
+			this.borrowed = true;
+			return true;
+		}
+		this.router.retryLoans().ask(this.service.name());
+		return false;
 	}
 
 	private void avoid(Attempt ended, AttemptOutcome end, String faultyAddress) {
