Tests: a begun draft of an entry is cut within milliseconds (failing)

Callers of a stream see tokens, then an error event and a closed connection, some milliseconds after a stage was lost, whatever time their deadline leaves: since every engine of a range turned the next step away (503, Retry-After), since the last engine of a range broke and its layers are being loaded elsewhere, or since the budget of retries is empty at that moment.

--- a/whinjunction-entry/src/test/java/io/whinjunction/entry/StoppingEntryTests.java
+++ b/whinjunction-entry/src/test/java/io/whinjunction/entry/StoppingEntryTests.java
@@ -163,6 +163,26 @@
 		}
 	}
 
+	// Guards against a stop that breaks off drafts which wait for a pipeline, or that
+	// leaves
+	// their callers without an outcome at its limit.
+	@Test
+	void aDraftThatWaitsForAPipelineReceivesItsOutcomeAtTheDrainLimit() {
+		try (LocalSystem system = new LocalSystem().engines(5).stopping(0, 2000).entries(1).configure()) {
+			int port = system.entry(0).callerPort();
+			CompletableFuture<String> waits = async(() -> HttpTestClient.raw(port, draft("waits", 4000)));
+			LocalSystem.await(() -> system.engines().values().stream().anyMatch((one) -> one.stepCount() > 5));
+			for (String domain : List.of("poa-a", "poa-b", "cxs-a")) {
+				system.killEngine("engine-" + domain + "-8-12");
+			}
+			CompletableFuture<Integer> cutOff = stop(system);
+			assertThat(waits.join()).contains("\"whin-outcome\":\"unknown\"")
+				.contains("stopping")
+				.doesNotContain("[DONE]");
+			assertThat(cutOff.join()).isOne();
+		}
+	}
+
 	// Drafts take 0.75 s here. One runs and one is queued when the entry is ordered to
 	// stop with a drain limit of 1 s: started after the first, the second would be cut
 	// off. The first is held until the second has its response, so that it cannot end too
--- a/whinjunction-entry/src/test/java/io/whinjunction/entry/UpstreamNoticesTests.java
+++ b/whinjunction-entry/src/test/java/io/whinjunction/entry/UpstreamNoticesTests.java
@@ -1,7 +1,10 @@
 package io.whinjunction.entry;
 
 import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 
 import io.whinjunction.http.server.Exchange;
@@ -12,6 +15,7 @@
 import io.whinjunction.platform.ObjectStore.Instance;
 import io.whinjunction.standins.EngineServer;
 import io.whinjunction.standins.FakeEngine;
+import io.whinjunction.standins.ReferenceModel;
 import io.whinjunction.time.Closer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -33,7 +37,9 @@
 	/** Drafts go on for longer than an engine is left alone after a failure. */
 	private static final long DRAFT_PAUSE_MS = 60;
 
-	private static final String ENGINE = "engine-poa-a-0-4";
+	private static final int TOKENS = 60;
+
+	private static final int STEPS_BEFORE_SHEDDING = 5;
 
 	private final Closer closer = new Closer();
 
@@ -151,6 +157,33 @@
 		assertThat(this.calls.stream().filter((call) -> call.path().equals("/steps")).count()).isEqualTo(1);
 	}
 
+	// Guards against a stream that is cut in the middle since all engines of a range turn
+	// away its next step at the same time, with most of its time left.
+	@Test
+	void aBegunDraftGoesOnAfterTheRetryAfterOfAllEnginesOfARange() {
+		LocalSystem system = this.closer.register(new LocalSystem().engines(0).entries(1).configure());
+		AtomicInteger steps = new AtomicInteger();
+		Set<String> shedding = ConcurrentHashMap.newKeySet();
+		for (String failureDomain : List.of("poa-a", "poa-b", "cxs-a")) {
+			replaceEngine(system, failureDomain, (exchange) -> {
+				if (exchange.request().path().equals("/steps") && steps.getAndIncrement() >= STEPS_BEFORE_SHEDDING
+						&& shedding.add(failureDomain)) {
+					turnAway(exchange);
+					return true;
+				}
+				return false;
+			});
+		}
+
+		HttpTestClient.Response answer = HttpTestClient.draft(system.entry(0).callerPort(), "key-1", "hello", TOKENS,
+				true);
+
+		assertThat(shedding).hasSize(3);
+		assertThat(answer.body()).endsWith("data: [DONE]\n\n");
+		assertThat(HttpTestClient.tokens(answer.body()))
+			.isEqualTo(ReferenceModel.draft("hello", LocalSystem.LAYERS, TOKENS));
+	}
+
 	private void turnAway(Exchange exchange) {
 		this.askedAtNs.compareAndSet(0, System.nanoTime());
 		exchange.reply(Reply.text(503, "busy").with("retry-after", Integer.toString(RETRY_AFTER_S)));
@@ -167,17 +200,23 @@
 			.putInstance(new Instance(id, "booking-api", "127.0.0.1:" + serve(id, handler).port(), "poa-a", "", false));
 	}
 
-	// Serves the engine at a new address, where the interceptor answers before it.
 	private EngineServer replaceEngine(LocalSystem system, Interceptor interceptor) {
-		FakeEngine fake = system.engines().get(ENGINE);
+		return replaceEngine(system, "poa-a", interceptor);
+	}
+
+	// Serves the first engine of a failure domain at a new address, where the interceptor
+	// answers before it.
+	private EngineServer replaceEngine(LocalSystem system, String failureDomain, Interceptor interceptor) {
+		String id = "engine-" + failureDomain + "-0-4";
+		FakeEngine fake = system.engines().get(id);
 		EngineServer engine = new EngineServer(fake, 0, 0);
-		HttpServer server = serve(ENGINE, (exchange) -> {
+		HttpServer server = serve(id, (exchange) -> {
 			if (!interceptor.answers(exchange)) {
 				engine.handle(exchange);
 			}
 		});
 		String address = "127.0.0.1:" + server.port();
-		system.store().putInstance(new Instance(ENGINE, "whin-llm", address, "poa-a", "kind-1", false));
+		system.store().putInstance(new Instance(id, "whin-llm", address, failureDomain, "kind-1", false));
 		awaitUpstreams(system, address);
 		return engine;
 	}
