Failures of an engine that come together count as one

Each draft on an engine sees a stall of it as a failure of its own, and each failure doubled the backoff: with six or more drafts one short stall kept the engine out of service for 16 s instead of 0.5 s. Drafts that wait for their engines would wait as long. Failures during a backoff no longer prolong it.

Failed before: UpstreamTableTests.failuresThatComeTogetherCountAsOne, "Expecting value to be false but was true" (ten failures within 10 ms, asked after 500 ms).

--- a/whinjunction-core/src/main/java/io/whinjunction/pipeline/UpstreamLoad.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/pipeline/UpstreamLoad.java
@@ -63,10 +63,14 @@
 
 	/**
 	 * Records a failed step: the upstream gets no new work during the backoff, then a
-	 * single attempt decides.
+	 * single attempt decides. Failures during a backoff do not prolong it: they are those
+	 * of work that began before it, or of a last resort.
 	 * @param nowMs the current time
 	 */
 	public void failed(long nowMs) {
+		if (backingOff(nowMs)) {
+			return;
+		}
 		int failures = this.failuresInRow.getAndIncrement();
 		this.hasFailed = true;
 		this.backoffUntilMs.set(nowMs + (FIRST_BACKOFF_MS << Math.min(failures, MAX_DOUBLINGS)));
--- a/whinjunction-core/src/test/java/io/whinjunction/pipeline/UpstreamTableTests.java
+++ b/whinjunction-core/src/test/java/io/whinjunction/pipeline/UpstreamTableTests.java
@@ -67,6 +67,18 @@
 		assertThat(load.backingOff(1499)).isFalse();
 	}
 
+	// Guards against a long backoff after one short stall: each of the drafts that run on
+	// an engine sees the stall as a failure of its own.
+	@Test
+	void failuresThatComeTogetherCountAsOne() {
+		UpstreamLoad load = this.table.load("a");
+		for (int draft = 0; draft < 10; draft++) {
+			load.failed(draft);
+		}
+		assertThat(load.backingOff(499)).isTrue();
+		assertThat(load.backingOff(500)).isFalse();
+	}
+
 	private static Upstream upstream(String id, boolean leaving) {
 		return new Upstream(id, "llm", "h:1", "poa-a", RANGE, 1, 100, 0, leaving);
 	}
