A begun draft waits until its next attempt can begin

Callers saw a stream end in an error event some milliseconds after a stage was lost, although their deadline left most of a minute. The cause: an attempt that could not begin at once was taken for one that can never begin, whether tokens were out or not.

A draft with tokens now looks again after a pause of 10 ms that doubles up to 250 ms, with jitter, until it has a pipeline and a retry, its deadline passes, its caller leaves, the process reaches its limit, or the places in which it has run are withdrawn from its team. While it waits it leaves engines alone that failed or requested a backoff, and it takes a retry from the budget only once it has a pipeline, so that drafts without one don't use up the retries of those that have one. A draft without a token ends at once as before; if it has neither pipeline nor budget it is now told the former (503 no-upstream). The sentence of a deadline or a stop names what the draft waited for last.

--- a/whinjunction-core/src/main/java/io/whinjunction/pipeline/PipelineChooser.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/pipeline/PipelineChooser.java
@@ -50,9 +50,24 @@
 	 * @return a pipeline, or the reason why there is none
 	 */
 	public Choice pipeline(Service.Model model, Placement placement, Set<String> avoided) {
+		return pipeline(model, placement, avoided, true);
+	}
+
+	/**
+	 * Chooses a pipeline for a draft that can wait: no upstream in backoff after a
+	 * failure is used, even if there is no other.
+	 * @param model the model
+	 * @param placement where the data may be
+	 * @return a pipeline, or the reason why there is none now
+	 */
+	public Choice rested(Service.Model model, Placement placement) {
+		return pipeline(model, placement, Set.of(), false);
+	}
+
+	private Choice pipeline(Service.Model model, Placement placement, Set<String> avoided, boolean evenPaused) {
 		List<Upstream> stages = new ArrayList<>(model.ranges().size());
 		for (LayerRange range : model.ranges()) {
-			Choice choice = chooseOne(this.table.byFailureDomain(model.name(), range), placement, avoided,
+			Choice choice = chooseOne(this.table.byFailureDomain(model.name(), range), placement, avoided, evenPaused,
 					"layers " + range);
 			if (!(choice instanceof Choice.Chosen chosen)) {
 				return choice;
@@ -70,12 +85,12 @@
 	 * @return a pipeline of one stage, or the reason why there is none
 	 */
 	public Choice plain(Service.Plain service, Placement placement, Set<String> avoided) {
-		return chooseOne(this.table.byFailureDomain(service.name(), null), placement, avoided,
+		return chooseOne(this.table.byFailureDomain(service.name(), null), placement, avoided, true,
 				"service " + service.name());
 	}
 
 	private Choice chooseOne(Map<String, List<Upstream>> holders, Placement placement, Set<String> avoided,
-			String what) {
+			boolean evenPaused, String what) {
 		List<List<Upstream>> permitted = new ArrayList<>(holders.size());
 		int count = 0;
 		for (Map.Entry<String, List<Upstream>> domain : holders.entrySet()) {
@@ -87,9 +102,9 @@
 		if (permitted.isEmpty()) {
 			return holders.isEmpty() ? new Choice.NoneAlive(what, 0) : new Choice.NonePermitted(what);
 		}
-		List<Upstream> usable = usable(sample(permitted, count), avoided);
+		List<Upstream> usable = usable(sample(permitted, count), avoided, evenPaused);
 		if (usable.isEmpty() && count > SAMPLE_SIZE) {
-			usable = usable(all(permitted), avoided);
+			usable = usable(all(permitted), avoided, evenPaused);
 		}
 		if (usable.isEmpty()) {
 			return new Choice.NoneAlive(what, backoffMs(all(permitted)));
@@ -120,7 +135,7 @@
 		return all;
 	}
 
-	private List<Upstream> usable(List<Upstream> permitted, Set<String> avoided) {
+	private List<Upstream> usable(List<Upstream> permitted, Set<String> avoided, boolean evenPaused) {
 		long nowMs = this.ticker.nowMs();
 		List<Upstream> usable = new ArrayList<>(permitted.size());
 		List<Upstream> paused = new ArrayList<>();
@@ -136,7 +151,7 @@
 			}
 		}
 		// If nothing else is left, an upstream in backoff is better than a refusal.
-		return usable.isEmpty() ? paused : usable;
+		return (usable.isEmpty() && evenPaused) ? paused : usable;
 	}
 
 	private long backoffMs(List<Upstream> upstreams) {
--- a/whinjunction-core/src/main/java/io/whinjunction/session/DraftSession.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/session/DraftSession.java
@@ -3,7 +3,9 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Objects;
 import java.util.Set;
+import java.util.SplittableRandom;
 
 import io.whinjunction.engine.EngineClient;
 import io.whinjunction.engine.EngineClient.Step;
@@ -25,8 +27,9 @@
  * <p>
  * Invariants: a token is delivered to the caller once, from one attempt, after each layer
  * ran for it exactly once and in order; a new attempt recomputes the KV cache of earlier
- * tokens but never delivers them again; "not run" is reported only if no step was sent.
- * Confined to one (virtual) thread.
+ * tokens but never delivers them again; "not run" is reported only if no step was sent. A
+ * draft with tokens waits until its next attempt can begin, at most until its deadline;
+ * one without tokens ends at once. Confined to one (virtual) thread.
  */
 public final class DraftSession {
 
@@ -36,6 +39,18 @@
 
 	private static final double STEP_TIMEOUT_FACTOR = 20;
 
+	/**
+	 * The first pause before it is checked again whether an attempt can begin, in
+	 * milliseconds; doubles with each further one up to the limit.
+	 */
+	private static final long FIRST_PAUSE_MS = 10;
+
+	/**
+	 * The longest such pause, in milliseconds. A stopping process sends its final errors
+	 * within twice this time.
+	 */
+	private static final long MAX_PAUSE_MS = 250;
+
 	private final DraftRequest request;
 
 	private final PipelineChooser chooser;
@@ -58,12 +73,22 @@
 
 	private final Set<Upstream> contacted = new HashSet<>();
 
+	private final SplittableRandom jitter;
+
 	private Placement placement;
 
+	/** The pipeline of the newest attempt; {@code null} before the first. */
+	private Pipeline lastPipeline;
+
+	/** Why the next attempt cannot begin; {@code null} while none is awaited. */
+	private Refusal blockage;
+
 	private int attempt;
 
 	private int rounds;
 
+	private long pauseMs = FIRST_PAUSE_MS;
+
 	public DraftSession(DraftRequest request, PipelineChooser chooser, UpstreamTable table, EngineClient engines,
 			RetryBudget budget, Ticker ticker) {
 		this.request = request;
@@ -73,6 +98,7 @@
 		this.budget = budget;
 		this.ticker = ticker;
 		this.ledger = new StepLedger(request.model().layerCount());
+		this.jitter = new SplittableRandom(request.id().hashCode());
 	}
 
 	/**
@@ -90,17 +116,24 @@
 
 	private Outcome attempts(TokenSink sink) {
 		this.placement = this.request.placement().get();
+		boolean repeated = false;
 		while (true) {
 			if (this.placement == null) {
 				return unsuccessful(Code.CONFIGURATION_UNCONFIRMED,
 						"Where the data may be has changed, or is not known any more.");
 			}
-			Choice choice = choose();
-			if (!(choice instanceof Choice.Chosen chosen)) {
-				return refuse(choice);
+			Start start = start(repeated);
+			if (start instanceof Start.Blocked blocked && !mayWait(blocked.refusal())) {
+				return unsuccessful(blocked.refusal());
+			}
+			AttemptEnd end = switch (start) {
+				case Start.Ready ready -> attempt(ready.pipeline(), sink);
+				case Start.Blocked blocked -> pause(blocked.refusal(), sink);
+			};
+			if (end instanceof AttemptEnd.StageFailed) {
+				repeated = true;
+				end = Objects.requireNonNullElse(over(sink), end);
 			}
-			this.attempt++;
-			AttemptEnd end = attempt(chosen.pipeline(), sink);
 			switch (end) {
 				case AttemptEnd.Completed ignored -> {
 					return new Outcome.Answered();
@@ -109,44 +142,102 @@
 					return unsuccessful(Code.UPSTREAM_FAILED, "The caller left before the answer was whole.");
 				}
 				case AttemptEnd.DeadlinePassed ignored -> {
-					return unsuccessful(Code.DEADLINE, "The answer was not whole before its deadline.");
+					return unsuccessful(Code.DEADLINE, "The answer was not whole before its deadline." + blockedBy());
 				}
 				case AttemptEnd.Stopping ignored -> {
 					return unsuccessful(Code.STOPPING,
-							"This entry stops; its time was up before the answer was whole.");
+							"This entry stops; its time was up before the answer was whole." + blockedBy());
 				}
 				case AttemptEnd.PlacementChanged ignored -> {
 					// Continues with the new placement or ends; no engine has failed. The
 					// placement is reused, since another request for it could mean a
 					// second wait.
+					repeated = false;
 				}
-				case AttemptEnd.StageFailed ignored -> {
-					if (deadlinePassed()) {
-						return unsuccessful(Code.DEADLINE, "The answer was not whole before its deadline.");
-					}
-					if (!this.budget.tryRetry()) {
-						return unsuccessful(Code.UPSTREAM_FAILED,
-								"A stage failed and the budget for retries is used up.");
-					}
-					this.placement = permission(sink);
-				}
+				case AttemptEnd.StageFailed ignored -> this.placement = permission(sink);
+				case AttemptEnd.NotBegun ignored -> this.placement = permission(sink);
 			}
 		}
 	}
 
+	// The budget is queried last: a draft that finds no pipeline must not use up the
+	// retries of others.
+	private Start start(boolean repeated) {
+		Choice choice = choose();
+		if (!(choice instanceof Choice.Chosen chosen)) {
+			return new Start.Blocked(refusal(choice));
+		}
+		if (repeated && !this.budget.tryRetry()) {
+			return new Start.Blocked(Refusal.temporary(Code.UPSTREAM_FAILED,
+					"A stage failed and the budget for retries is used up.", RETRY_AFTER_S));
+		}
+		return new Start.Ready(chosen.pipeline());
+	}
+
+	// Engines in a permitted place may load the layers at any time, but only if the
+	// places in which the draft has run are still those of its team.
+	private boolean mayWait(Refusal refusal) {
+		return begun() && (refusal.code() != Code.PLACE_NOT_PERMITTED || permitted(this.lastPipeline));
+	}
+
+	private boolean begun() {
+		return !this.tokens.isEmpty();
+	}
+
+	private String blockedBy() {
+		return (this.blockage != null) ? " It waited last: " + this.blockage.sentence() : "";
+	}
+
+	private AttemptEnd pause(Refusal refusal, TokenSink sink) {
+		this.blockage = refusal;
+		AttemptEnd over = over(sink);
+		if (over != null) {
+			return over;
+		}
+		long longestMs = Math.max(1, Math.min(this.pauseMs, this.request.deadlineMs() - this.ticker.nowMs()));
+		this.pauseMs = Math.min(MAX_PAUSE_MS, 2 * this.pauseMs);
+		try {
+			this.ticker.sleepMs(this.jitter.nextLong(longestMs / 2, longestMs + 1));
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			return new AttemptEnd.Stopping();
+		}
+		return new AttemptEnd.NotBegun();
+	}
+
+	// Returns why the draft ends before its answer is complete, or null.
+	private AttemptEnd over(TokenSink sink) {
+		if (sink.cancelled()) {
+			return new AttemptEnd.CallerGone();
+		}
+		if (deadlinePassed()) {
+			return new AttemptEnd.DeadlinePassed();
+		}
+		if (sink.stopping()) {
+			return new AttemptEnd.Stopping();
+		}
+		return null;
+	}
+
 	private Choice choose() {
 		Choice choice = this.chooser.pipeline(this.request.model(), this.placement, this.avoided);
-		if (choice instanceof Choice.NoneAlive && !this.avoided.isEmpty()
-				&& this.rounds++ < this.request.model().ranges().size()) {
+		if (!(choice instanceof Choice.NoneAlive) || this.avoided.isEmpty()) {
+			return choice;
+		}
+		if (this.rounds++ < this.request.model().ranges().size()) {
 			// Every holder has failed this draft; a stall that affected all of them may
 			// be over.
 			this.avoided.clear();
 			return choose();
 		}
-		return choice;
+		return begun() ? this.chooser.rested(this.request.model(), this.placement) : choice;
 	}
 
 	private AttemptEnd attempt(Pipeline pipeline, TokenSink sink) {
+		this.attempt++;
+		this.lastPipeline = pipeline;
+		this.blockage = null;
 		this.ledger.abandon();
 		List<UpstreamLoad> loads = new ArrayList<>();
 		List<HopRecorder> recorders = new ArrayList<>();
@@ -177,14 +268,9 @@
 			// Checked first, since it may wait; the conditions below must hold after the
 			// wait.
 			boolean permitted = stillPermitted(pipeline, sink);
-			if (sink.cancelled()) {
-				return new AttemptEnd.CallerGone();
-			}
-			if (deadlinePassed()) {
-				return new AttemptEnd.DeadlinePassed();
-			}
-			if (sink.stopping()) {
-				return new AttemptEnd.Stopping();
+			AttemptEnd over = over(sink);
+			if (over != null) {
+				return over;
 			}
 			if (!permitted) {
 				return new AttemptEnd.PlacementChanged();
@@ -197,6 +283,7 @@
 			inputs = List.of(token);
 			this.tokens.add(token);
 			this.budget.recordToken();
+			this.pauseMs = FIRST_PAUSE_MS;
 			sink.token(token);
 		}
 		return new AttemptEnd.Completed();
@@ -207,8 +294,11 @@
 	private boolean stillPermitted(Pipeline pipeline, TokenSink sink) {
 		Placement before = this.placement;
 		this.placement = permission(sink);
-		return this.placement == before || (this.placement != null
-				&& pipeline.stages().stream().allMatch((stage) -> this.placement.permits(stage.failureDomain())));
+		return this.placement == before || (this.placement != null && permitted(pipeline));
+	}
+
+	private boolean permitted(Pipeline pipeline) {
+		return pipeline.stages().stream().allMatch((stage) -> this.placement.permits(stage.failureDomain()));
 	}
 
 	// A draft of which nothing was sent does not wait, since "not run" can be reported at
@@ -293,21 +383,19 @@
 		this.table.load(stage.id()).failed(this.ticker.nowMs());
 	}
 
-	private Outcome refuse(Choice choice) {
+	private Refusal refusal(Choice choice) {
 		return switch (choice) {
-			case Choice.NonePermitted none -> unsuccessful(Code.PLACE_NOT_PERMITTED,
+			case Choice.NonePermitted none -> Refusal.permanent(Code.PLACE_NOT_PERMITTED,
 					"No place permitted for team '" + this.placement.team().name() + "' holds " + none.what() + ".");
-			case Choice.NoneAlive none -> unsuccessful(Refusal.temporary(Code.NO_UPSTREAM,
+			case Choice.NoneAlive none -> Refusal.temporary(Code.NO_UPSTREAM,
 					"No permitted upstream holds " + none.what() + " and takes work now.",
-					none.retryAfterS(RETRY_AFTER_S)));
+					none.retryAfterS(RETRY_AFTER_S));
 			case Choice.Chosen chosen -> throw new IllegalStateException("chosen: " + chosen);
 		};
 	}
 
 	private Outcome unsuccessful(Code code, String sentence) {
-		Refusal refusal = (code == Code.PLACE_NOT_PERMITTED) ? Refusal.permanent(code, sentence)
-				: Refusal.temporary(code, sentence, RETRY_AFTER_S);
-		return unsuccessful(refusal);
+		return unsuccessful(Refusal.temporary(code, sentence, RETRY_AFTER_S));
 	}
 
 	private Outcome unsuccessful(Refusal refusal) {
@@ -320,8 +408,21 @@
 		}
 	}
 
+	private sealed interface Start {
+
+		record Ready(Pipeline pipeline) implements Start {
+		}
+
+		record Blocked(Refusal refusal) implements Start {
+		}
+
+	}
+
 	private sealed interface AttemptEnd {
 
+		record NotBegun() implements AttemptEnd {
+		}
+
 		record Completed() implements AttemptEnd {
 		}
 
