An entry's budget of retries is regained by time

A begun draft that waits for a retry waited in vain, until its deadline, if no request came and no other draft made progress: after a failure that took the reserve nothing earned a retry any more, although the engines were well again.

This changes a decision of docs/DESIGN.md ("when everything fails nothing is earned").

--- a/whinjunction-core/src/test/java/io/whinjunction/session/BegunDraftTests.java
+++ b/whinjunction-core/src/test/java/io/whinjunction/session/BegunDraftTests.java
@@ -125,6 +125,23 @@
 		assertThat(this.ticker.nowMs).isBetween(1000L, 1000 + LATEST_MS + TOKENS * STEP_MS);
 	}
 
+	// Guards against drafts that wait in vain for a retry since no other draft and no
+	// request earns one.
+	@Test
+	void aBegunDraftGoesOnThoughNothingElseEarnsItsRetry() {
+		int reserve = 20;
+		this.budget = new RetryBudget(0, reserve, this.ticker);
+		for (int i = 0; i < reserve; i++) {
+			assertThat(this.budget.tryRetry()).isTrue();
+		}
+		this.table.replace(List.of(engine("a", "d1"), engine("b", "d1")));
+		this.engines.afterTokens(BEFORE_FAILURE, (address) -> failOnce());
+
+		assertAnswered(draft());
+
+		assertThat(this.ticker.nowMs).isLessThanOrEqualTo(RetryBudget.REGAIN_MS / reserve + LATEST_MS);
+	}
+
 	// Guards against drafts without a pipeline that use up the retries of those that have
 	// one.
 	@Test
@@ -202,6 +219,17 @@
 		assertThat(this.ticker.nowMs).isLessThanOrEqualTo(TOKENS * STEP_MS);
 	}
 
+	// Guards against a refusal after one stall of the only engine, which may be over.
+	@Test
+	void aDraftWithoutATokenIsSentAgainToTheEngineThatFailedItOnce() {
+		this.table.replace(List.of(engine("a", "d1")));
+		this.engines.afterTokens(0, (address) -> failOnce());
+
+		assertAnswered(draft());
+
+		assertThat(this.ticker.nowMs).isEqualTo((1 + TOKENS) * STEP_MS);
+	}
+
 	@Test
 	void aDraftWithoutATokenIsEndedAtOnce() {
 		DraftResult none = draft();
--- a/whinjunction-core/src/test/java/io/whinjunction/session/RetryBudgetTests.java
+++ b/whinjunction-core/src/test/java/io/whinjunction/session/RetryBudgetTests.java
@@ -1,5 +1,8 @@
 package io.whinjunction.session;
 
+import java.util.concurrent.atomic.AtomicLong;
+
+import io.whinjunction.time.Ticker;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
@@ -47,6 +50,24 @@
 		}
 	}
 
+	// Guards against retries that grow with the number of those that wait for one: all
+	// fail and ask again all the time.
+	@Property(seed = "14")
+	void retriesOverTimeStayWithinTheRegainedReserve(@ForAll @IntRange(min = 1, max = 300) int durationS,
+			@ForAll @IntRange(min = 1, max = 100) int reserve) {
+		AtomicLong nowMs = new AtomicLong();
+		RetryBudget budget = new RetryBudget(0.1, reserve, clock(nowMs));
+		int retries = 0;
+		while (nowMs.get() < durationS * 1000L) {
+			while (budget.tryRetry()) {
+				retries++;
+			}
+			nowMs.addAndGet(100);
+		}
+		double bound = reserve + (double) reserve * durationS * 1000 / RetryBudget.REGAIN_MS;
+		assertThat(retries).isBetween((int) bound - 1, (int) bound + 1);
+	}
+
 	@Test
 	void aSingleFailureIsRetried() {
 		RetryBudget budget = new RetryBudget(0.1, 20);
@@ -54,4 +75,20 @@
 		assertThat(budget.tryRetry()).isTrue();
 	}
 
+	private static Ticker clock(AtomicLong nowMs) {
+		return new Ticker() {
+
+			@Override
+			public long nowMs() {
+				return nowMs.get();
+			}
+
+			@Override
+			public void sleepMs(long durationMs) {
+				nowMs.addAndGet(durationMs);
+			}
+
+		};
+	}
+
 }
--- a/whinjunction-entry/src/main/java/io/whinjunction/entry/Entry.java
+++ b/whinjunction-entry/src/main/java/io/whinjunction/entry/Entry.java
@@ -140,7 +140,7 @@
 				new AdmissionQueue(ConcurrencyLimit.adaptive(settings.limits().plainCalls()),
 						settings.limits().plainCalls()),
 				new PipelineChooser(upstreams, ChoicePolicy.standard(), this.ticker, random), engines, caller, claims,
-				new RetryBudget(RETRY_RATIO, Math.max(MIN_RETRY_RESERVE, settings.limits().streams())),
+				new RetryBudget(RETRY_RATIO, Math.max(MIN_RETRY_RESERVE, settings.limits().streams()), this.ticker),
 				new EntryMetrics(), this.closer.register(Tracing.create(settings.id(), settings.otlpEndpoint())),
 				new DecisionLog());
 		TlsFiles tls = tls(settings);
