A pause of a draft is not taken for congestion

The projected duration of an answer included the time in which its draft waited for a pipeline, so a pause of the engines would lower the limit of running drafts of the entry. The pause is subtracted now.

--- a/whinjunction-core/src/main/java/io/whinjunction/session/DraftSession.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/session/DraftSession.java
@@ -194,7 +194,8 @@
 		if (over != null) {
 			return over;
 		}
-		long longestMs = Math.max(1, Math.min(this.pauseMs, this.request.deadlineMs() - this.ticker.nowMs()));
+		long startMs = this.ticker.nowMs();
+		long longestMs = Math.max(1, Math.min(this.pauseMs, this.request.deadlineMs() - startMs));
 		this.pauseMs = Math.min(MAX_PAUSE_MS, 2 * this.pauseMs);
 		try {
 			this.ticker.sleepMs(this.jitter.nextLong(longestMs / 2, longestMs + 1));
@@ -203,6 +204,7 @@
 			Thread.currentThread().interrupt();
 			return new AttemptEnd.Stopping();
 		}
+		sink.paused(this.ticker.nowMs() - startMs);
 		return new AttemptEnd.NotBegun();
 	}
 
--- a/whinjunction-core/src/main/java/io/whinjunction/session/TokenSink.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/session/TokenSink.java
@@ -17,6 +17,14 @@
 	 */
 	boolean cancelled();
 
+	/**
+	 * Called after a pause in which no engine worked for the draft since its next attempt
+	 * could not begin.
+	 * @param durationMs the duration, in milliseconds
+	 */
+	default void paused(long durationMs) {
+	}
+
 	/**
 	 * Returns whether the process terminates now, so that no further token can be
 	 * generated.
--- a/whinjunction-entry/src/main/java/io/whinjunction/entry/DraftHandler.java
+++ b/whinjunction-entry/src/main/java/io/whinjunction/entry/DraftHandler.java
@@ -127,6 +127,8 @@
 
 		private int count;
 
+		private long pausedMs;
+
 		Writer(Exchange exchange, RequestRecord record, DraftBody body, boolean chat, long enteredMs, long allowedMs) {
 			this.exchange = exchange;
 			this.record = record;
@@ -143,7 +145,9 @@
 			if (this.count++ == 0) {
 				context.metrics().firstToken(this.body.model(), nowMs - this.record.startedAtMs());
 			}
-			double estimatedMs = (double) (nowMs - this.enteredMs) * this.body.maxTokens() / this.count;
+			// A pause does not show that the engines are congested.
+			long workedMs = nowMs - this.enteredMs - this.pausedMs;
+			double estimatedMs = (double) workedMs * this.body.maxTokens() / this.count;
 			context.drafts().recordProgress(nowMs, estimatedMs, this.allowedMs);
 			if (this.body.stream()) {
 				begin();
@@ -156,6 +160,11 @@
 			return this.exchange.callerDisconnected();
 		}
 
+		@Override
+		public void paused(long durationMs) {
+			this.pausedMs += durationMs;
+		}
+
 		@Override
 		public boolean stopping() {
 			return !DraftHandler.this.context.gate().hasTimeFor(0);
--- a/whinjunction-entry/src/test/java/io/whinjunction/entry/UpstreamNoticesTests.java
+++ b/whinjunction-entry/src/test/java/io/whinjunction/entry/UpstreamNoticesTests.java
@@ -162,6 +162,35 @@
 	@Test
 	void aBegunDraftGoesOnAfterTheRetryAfterOfAllEnginesOfARange() {
 		LocalSystem system = this.closer.register(new LocalSystem().engines(0).entries(1).configure());
+		Set<String> shedding = shedOnceInMidStream(system);
+
+		HttpTestClient.Response answer = stream(system);
+
+		assertThat(shedding).hasSize(3);
+		assertThat(answer.body()).endsWith("data: [DONE]\n\n");
+		assertThat(HttpTestClient.tokens(answer.body()))
+			.isEqualTo(ReferenceModel.draft("hello", LocalSystem.LAYERS, TOKENS));
+	}
+
+	// Guards against an entry that admits fewer drafts after a pause of its engines,
+	// since
+	// it takes the pause for congestion.
+	@Test
+	void aPauseOfTheEnginesDoesNotLowerTheLimitOfDrafts() {
+		LocalSystem system = this.closer.register(new LocalSystem().engines(0)
+			.entries(1)
+			.configure("step-timeout-ms = 1000", "step-timeout-ms = 1000\nanswer-deadline-ms = 5000"));
+		Set<String> shedding = shedOnceInMidStream(system);
+		int limit = limit(system);
+
+		HttpTestClient.Response answer = stream(system);
+
+		assertThat(shedding).hasSize(3);
+		assertThat(answer.body()).endsWith("data: [DONE]\n\n");
+		assertThat(limit(system)).isGreaterThanOrEqualTo(limit);
+	}
+
+	private Set<String> shedOnceInMidStream(LocalSystem system) {
 		AtomicInteger steps = new AtomicInteger();
 		Set<String> shedding = ConcurrentHashMap.newKeySet();
 		for (String failureDomain : List.of("poa-a", "poa-b", "cxs-a")) {
@@ -174,14 +203,16 @@
 				return false;
 			});
 		}
+		return shedding;
+	}
 
-		HttpTestClient.Response answer = HttpTestClient.draft(system.entry(0).callerPort(), "key-1", "hello", TOKENS,
-				true);
+	private static HttpTestClient.Response stream(LocalSystem system) {
+		return HttpTestClient.draft(system.entry(0).callerPort(), "key-1", "hello", TOKENS, true);
+	}
 
-		assertThat(shedding).hasSize(3);
-		assertThat(answer.body()).endsWith("data: [DONE]\n\n");
-		assertThat(HttpTestClient.tokens(answer.body()))
-			.isEqualTo(ReferenceModel.draft("hello", LocalSystem.LAYERS, TOKENS));
+	private static int limit(LocalSystem system) {
+		String status = HttpTestClient.get(system.entry(0).operatorPort(), "/status").body();
+		return Integer.parseInt(status.replaceAll("(?s).*\"limit\":(\\d+).*", "$1"));
 	}
 
 	private void turnAway(Exchange exchange) {
