--- a/whinjunction-router/src/main/java/io/whinjunction/router/Attempt.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/Attempt.java
@@ -69,6 +69,8 @@
 
 	private boolean foundEnded;
 
+	private boolean withheld;
+
 	private boolean ended;
 
 	private UpstreamHead head;
@@ -113,6 +115,14 @@
 		return this.sent && !this.ended;
 	}
 
+	/**
+	 * Whether this router itself did not send the request over an established connection.
+	 * @return whether it did not, which is no evidence against the upstream
+	 */
+	boolean withheld() {
+		return this.withheld;
+	}
+
 	/**
 	 * Whether the attempt brought the request further, so that the next one need not
 	 * wait.
@@ -156,30 +166,32 @@
 		}
 		UpstreamState state = this.session.router().directory().find(this.first);
 		if (state == null || state.leaving()) {
-			connected.channel().close();
-			notSent("upstream-left");
+			withhold(connected, "upstream-left");
 			return;
 		}
 		if (this.session.router().availability().backingOff(this.first)) {
-			connected.channel().close();
-			notSent("upstream-backoff");
+			withhold(connected, "upstream-backoff");
 			return;
 		}
 		if (!this.session.stillAllowed()) {
-			connected.channel().close();
-			notSent("unproved-keys");
+			withhold(connected, "unproved-keys");
 			return;
 		}
 		// Connecting takes time, and the process may have been suspended meanwhile.
 		if (this.session.outlivesRouter()) {
-			connected.channel().close();
-			notSent("stopping");
+			withhold(connected, "stopping");
 			return;
 		}
 		this.connection = connected;
 		send();
 	}
 
+	private void withhold(UpstreamConnection connected, String reason) {
+		this.withheld = true;
+		connected.channel().close();
+		notSent(reason);
+	}
+
 	private void notSent(String reason) {
 		this.session.history().recordNotSent();
 		end(new AttemptOutcome.NotSent(reason), null);
--- a/whinjunction-router/src/main/java/io/whinjunction/router/ForwardSession.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/ForwardSession.java
@@ -248,9 +248,8 @@
 		acquire(false).ifPresentOrElse((obstacle) -> giveUp(obstacle, obstacle.logName()), this::begin);
 	}
 
-	// The budget is asked last: a repeat that no upstream can serve must not be taken
-	// from
-	// what other requests need.
+	// The budget is asked last: a repeat that no upstream can serve would be lost to
+	// other requests.
 	private Optional<RetryObstacle> acquire(boolean repeat) {
 		Optional<CrashingRequests.Refusal> crashing = this.router.crashGuard()
 			.refusal(this.request.id(), this.fingerprint);
@@ -526,7 +525,7 @@
 			this.history.recordFailure(first.incarnation());
 		}
 		UpstreamState state = this.router.directory().find(first.incarnation());
-		if (state != null && !(end instanceof AttemptOutcome.Failed)) {
+		if (state != null && !(end instanceof AttemptOutcome.Failed) && !ended.withheld()) {
 			state.avoidUntil(untilMs);
 		}
 	}
