--- a/whinjunction-core/src/main/java/io/whinjunction/forward/FleetRetryBudget.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/forward/FleetRetryBudget.java
@@ -111,8 +111,8 @@
 	}
 
 	/**
-	 * Returns a retry that reached no upstream. It is not returned after the time in
-	 * which it was acquired is over.
+	 * Returns a retry that reached no upstream, unless none was acquired in the current
+	 * bucket.
 	 * @param nowMs the current time
 	 */
 	public void returnRepeat(long nowMs) {
--- a/whinjunction-router/src/main/java/io/whinjunction/router/ForwardSession.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/ForwardSession.java
@@ -133,7 +133,7 @@
 		this.team = admitted.team();
 		this.service = admitted.service();
 		if (this.route.kind() == RequestKind.STREAMING && this.route.repeatable()) {
-			this.body.answerIsResumable();
+			this.body.keepForResumption();
 		}
 		this.router.budget(this.service.name()).requested(this.startedMs);
 		long maxWaitMs = (this.request.maxWaitMs() >= 0) ? this.request.maxWaitMs() : DEFAULT_MAX_WAIT_MS;
@@ -325,9 +325,9 @@
 				!this.answerBegun);
 	}
 
-	// A request keeps its route and service, but engines of a kind that was added since
-	// it
-	// began can serve it too.
+	// A request keeps its route, but engines of a kind that the configuration listed
+	// later
+	// can serve it too.
 	private RoutedService currentService() {
 		RoutedService current = this.router.configuration().service(this.service.name());
 		boolean same = current != null && current.chained() == this.service.chained();
@@ -439,8 +439,10 @@
 		}
 		recordFailureAt(faultyAddress);
 		AttemptOutcome end = new AttemptOutcome.Unknown("stalled");
-		RetryDecision next = RetryPolicy.next(this.route, end, this.history.forRetry(this.answerBegun, true), leftMs(),
-				this::acquire);
+		// Another attempt may begin at once: it replaces one that stands still.
+		boolean progressed = true;
+		RetryDecision next = RetryPolicy.next(this.route, end, this.history.forRetry(this.answerBegun, progressed),
+				leftMs(), this::acquire);
 		if (next instanceof RetryDecision.Wait wait) {
 			this.obstacle = wait.obstacle();
 		}
--- a/whinjunction-router/src/main/java/io/whinjunction/router/RequestBody.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/RequestBody.java
@@ -41,8 +41,8 @@
 		this.contentLength = contentLength;
 	}
 
-	/** Buffers longer bodies, since the answer can be resumed only with the body. */
-	void answerIsResumable() {
+	/** Buffers longer bodies, since an answer can be resumed only with the body. */
+	void keepForResumption() {
 		this.maxBufferedBytes = MAX_BUFFERED_RESUMABLE_BYTES;
 	}
 
