--- a/whinjunction-router/src/main/java/io/whinjunction/router/Attempt.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/Attempt.java
@@ -148,7 +148,7 @@
 		this.load.began();
 		switch (this.target) {
 			case Target.Direct direct -> this.session.router().limits().sent(this.first);
-			case Target.Relay relay -> this.session.router().relays().began(relay.first());
+			case Target.Relay relay -> this.session.router().relays().began(this);
 		}
 		// A pooled connection may close at the very moment at which a request is written
 		// to it, which leaves unknown whether the request ran. A request that must not be
@@ -371,6 +371,13 @@
 				&& router.reachability().contactAgeMs(this.session.service().name()) > limitMs;
 	}
 
+	/** Handles that the peer that relays the request does not answer queries. */
+	void onRelaySilent() {
+		if (underWay()) {
+			this.session.onRelaySilent();
+		}
+	}
+
 	int promptTokens() {
 		return this.session.request().promptTokens();
 	}
@@ -655,8 +662,8 @@
 			return;
 		}
 		this.ended = true;
-		if (this.target instanceof Target.Relay relay) {
-			this.session.router().relays().ended(relay.first());
+		if (this.target instanceof Target.Relay) {
+			this.session.router().relays().ended(this);
 		}
 		this.session.router().engineMonitor().remove(this);
 		this.load.readingEnded();
--- a/whinjunction-router/src/main/java/io/whinjunction/router/ForwardSession.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/ForwardSession.java
@@ -512,6 +512,14 @@
 		}
 	}
 
+	/** Hands the request to another peer, as the one that relays it is silent. */
+	void onRelaySilent() {
+		if (!this.done && !outlivesRouter() && replayable()) {
+			this.history.recordFailure(this.attempt.target().first().incarnation());
+			replaceAttempt(new AttemptOutcome.Unknown("relay-silent"), null);
+		}
+	}
+
 	private boolean replaceAttempt(AttemptOutcome end, String faultyAddress) {
 		// Another attempt may begin at once: it replaces one that stands still.
 		boolean progressed = true;
--- a/whinjunction-router/src/main/java/io/whinjunction/router/PeerLink.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/PeerLink.java
@@ -116,6 +116,14 @@
 		return targets.size();
 	}
 
+	/**
+	 * Queries the status of one peer.
+	 * @param address the address at which it receives messages
+	 */
+	void query(String address) {
+		query(List.of(address));
+	}
+
 	/** Queries the status of a few peers. */
 	void queryActive() {
 		query(this.table.targets(FANOUT, this.router.nowMs()));
--- a/whinjunction-router/src/main/java/io/whinjunction/router/PeerRelays.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/PeerRelays.java
@@ -3,11 +3,17 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
+import com.google.common.flogger.FluentLogger;
+import io.netty.util.concurrent.ScheduledFuture;
 import io.whinjunction.routing.RoutingConfiguration;
 
 /**
@@ -16,13 +22,16 @@
  * <p>
  * Each is judged by both routers: the relay checks key, route and limits by its own
  * configuration and refuses requests of a router that has a newer one. A relayed request
- * is never relayed again.
+ * is never relayed again. A peer whose requests are quiet is queried; if it does not
+ * answer, its requests are handed on to others as far as they may be repeated.
  * <p>
  * Invariant: at most {@link #MAX_FOR_PEERS} requests of peers are under way. Confined to
  * the event loop.
  */
 final class PeerRelays {
 
+	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
 	/**
 	 * The maximum number of requests of peers under way at a time: each occupies two
 	 * connections and their buffers.
@@ -32,12 +41,29 @@
 	/** How long a peer is avoided that did not take a request, in milliseconds. */
 	private static final long AVOID_MS = 500;
 
+	/** The interval between checks of quiet requests, in milliseconds. */
+	private static final long CHECK_INTERVAL_MS = 100;
+
+	/** How long a request is quiet before its peer is queried, in milliseconds. */
+	private static final long QUIET_MS = 200;
+
+	/** How long a queried peer has to send a status, in milliseconds: three queries. */
+	private static final long SILENT_MS = 350;
+
 	private final RouterContext router;
 
 	private final String name;
 
-	/** Requests under way at peers, by the incarnation of the peer. */
-	private final Map<String, Integer> underWay = new HashMap<>();
+	private final Consumer<String> query;
+
+	/** Requests under way at peers. */
+	private final Set<Attempt> attempts = new LinkedHashSet<>();
+
+	/** When the first query without a status since was sent, by address. */
+	private final Map<String, Long> unansweredSinceMs = new HashMap<>();
+
+	/** {@code null} while no request is under way at a peer. */
+	private ScheduledFuture<?> check;
 
 	private final Map<String, Long> avoidedUntilMs = new HashMap<>();
 
@@ -47,10 +73,12 @@
 	 * Creates an instance without requests.
 	 * @param router the clock, the peers and the configuration
 	 * @param name the name of this router
+	 * @param query queries the status of the peer at an address
 	 */
-	PeerRelays(RouterContext router, String name) {
+	PeerRelays(RouterContext router, String name, Consumer<String> query) {
 		this.router = router;
 		this.name = name;
+		this.query = query;
 	}
 
 	/**
@@ -92,24 +120,66 @@
 		return new RelayHeaders.Origin(this.name, this.router.configuration().version(), waitedMs, tried);
 	}
 
-	private int underWay(Upstream peer) {
-		return this.underWay.getOrDefault(peer.incarnation(), 0);
+	private long underWay(Upstream peer) {
+		return this.attempts.stream()
+			.filter((attempt) -> attempt.target().first().incarnation().equals(peer.incarnation()))
+			.count();
 	}
 
 	/**
 	 * Records that a request is handed to a peer.
-	 * @param peer the peer
+	 * @param attempt the attempt
 	 */
-	void began(Upstream peer) {
-		this.underWay.merge(peer.incarnation(), 1, Integer::sum);
+	void began(Attempt attempt) {
+		this.attempts.add(attempt);
+		schedule();
 	}
 
 	/**
 	 * Records the end of a request at a peer.
-	 * @param peer the peer
+	 * @param attempt the attempt
 	 */
-	void ended(Upstream peer) {
-		this.underWay.computeIfPresent(peer.incarnation(), (id, count) -> (count > 1) ? count - 1 : null);
+	void ended(Attempt attempt) {
+		this.attempts.remove(attempt);
+	}
+
+	private void schedule() {
+		if (this.check == null) {
+			this.check = this.router.loop().schedule(this::check, CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
+		}
+	}
+
+	private void check() {
+		this.check = null;
+		long nowMs = this.router.nowMs();
+		Set<String> quiet = new HashSet<>();
+		for (Attempt attempt : this.attempts) {
+			if (attempt.underWay() && nowMs - attempt.progressAtMs() > QUIET_MS) {
+				quiet.add(attempt.target().first().address());
+			}
+		}
+		this.unansweredSinceMs.keySet().retainAll(quiet);
+		quiet.forEach((address) -> checkPeer(address, nowMs));
+		if (!this.attempts.isEmpty()) {
+			schedule();
+		}
+	}
+
+	private void checkPeer(String address, long nowMs) {
+		Long sinceMs = this.unansweredSinceMs.get(address);
+		if (sinceMs == null || this.router.peers().statusReceivedAtMs(address) >= sinceMs) {
+			this.unansweredSinceMs.put(address, nowMs);
+		}
+		else if (nowMs - sinceMs > SILENT_MS) {
+			logger.atWarning().log("event=relay-silent peer=%s silent-ms=%d", address, nowMs - sinceMs);
+			for (Attempt attempt : List.copyOf(this.attempts)) {
+				if (attempt.target().first().address().equals(address)) {
+					attempt.onRelaySilent();
+				}
+			}
+			return;
+		}
+		this.query.accept(address);
 	}
 
 	/**
--- a/whinjunction-router/src/main/java/io/whinjunction/router/PeerTable.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/PeerTable.java
@@ -228,6 +228,16 @@
 		return this.active.count(nowMs);
 	}
 
+	/**
+	 * Returns when the last status of a peer was received.
+	 * @param address the address at which the peer receives messages
+	 * @return the time; {@link Long#MIN_VALUE} if none was received
+	 */
+	long statusReceivedAtMs(String address) {
+		Peer peer = this.byAddress.get(address);
+		return (peer != null && peer.status != null) ? peer.receivedAtMs : Long.MIN_VALUE;
+	}
+
 	/**
 	 * Returns the last statuses of the active peers.
 	 * @param nowMs the time
--- a/whinjunction-router/src/main/java/io/whinjunction/router/Router.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/Router.java
@@ -168,7 +168,7 @@
 		this.peers = new PeerTable(Addresses.text(settings.peers()), this.random);
 		this.availability = new UpstreamAvailability(this, this::replan);
 		this.reachability = new ReachabilityMonitor(this, new ReachabilityListener());
-		this.relays = new PeerRelays(this, settings.name());
+		this.relays = new PeerRelays(this, settings.name(), (address) -> peerLink().query(address));
 		this.pool = new UpstreamPool(this.loop, this.dialect, this.ticker, this.availability, this.reachability);
 		this.directory = new UpstreamDirectory((upstream) -> this.pool.drop(upstream.incarnation()));
 		this.engineMonitor = new EngineMonitor(this, ports.engines(), this::engineStateChanged,
