An engine over which streams of any router make progress is not taken for lost

Cause: a router judged an engine by its own status queries alone; a path needs only its first engine to be reached by the router.

Change: a peer that is told of a silent engine over which its own streams get events says so in its status; the reporter withdraws its suspicion, and streams leave an engine only after peers had a round trip to answer. UnreachableEngineTests failed before: the late request ended with 502.

--- a/whinjunction-protocol/src/main/thrift/router.thrift
+++ b/whinjunction-protocol/src/main/thrift/router.thrift
@@ -50,6 +50,8 @@
   23: bool relays = 0
   /* The sender released the lease lately. */
   24: bool leaseReleased = 0
+  /* Engines that other routers reported as silent and that work as far as the sender sees, by name and start time. */
+  25: list<string> workingEngines = []
 }
 
 /* Requests the changes of the list of upstreams. */
--- a/whinjunction-router/src/main/java/io/whinjunction/router/Attempt.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/Attempt.java
@@ -664,6 +664,9 @@
 		this.ended = true;
 		if (this.target instanceof Target.Relay) {
 			this.session.router().relays().ended(this);
+			this.session.router()
+				.metrics()
+				.relay((this.relayOutcome != null) ? this.relayOutcome.logName() : "unanswered");
 		}
 		this.session.router().engineMonitor().remove(this);
 		this.load.readingEnded();
--- a/whinjunction-router/src/main/java/io/whinjunction/router/EngineMonitor.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/EngineMonitor.java
@@ -23,7 +23,8 @@
  * stream over it stalls for seconds, and the list shows the crash only after the engine's
  * heartbeats were missed. Engines whose streams are stalled ({@link StallRules}) are sent
  * a status query. An engine that does not reply, or no longer holds its layers, is
- * avoided by all routers for a while, and the streams that wait for it fail over.
+ * avoided by all routers for a while, and the streams that wait for it fail over. An
+ * engine over which streams of any router make progress works, whoever does not reach it.
  * <p>
  * Invariant: an engine whose streams are late is queried at most once per
  * {@link #QUERY_INTERVAL_MS}, and while it is suspect, or this router itself receives
@@ -77,6 +78,24 @@
 	/** How long a regained engine is remembered, in milliseconds. */
 	private static final long REGAINED_REMEMBERED_MS = 5_000;
 
+	/**
+	 * How recent an event of a stream over an engine is that shows that the engine works,
+	 * in milliseconds: less than the time in which another router found it silent.
+	 */
+	private static final long PROGRESS_MS = 80;
+
+	/**
+	 * How long peers have to report that an engine works before streams leave it, in
+	 * milliseconds: a round trip.
+	 */
+	private static final long PEER_REPORT_MS = 10;
+
+	/**
+	 * How long the report of a peer about an engine is taken into account, in
+	 * milliseconds.
+	 */
+	private static final long REPORT_MS = 1500;
+
 	/** The number of unanswered status queries after which an engine is replaced. */
 	private static final int LOST_AFTER_UNANSWERED = 2;
 
@@ -101,6 +120,12 @@
 	/** When engines replied again that had been found silent. */
 	private final Map<String, Long> regainedAtMs = new HashMap<>();
 
+	/** When peers last reported engines as silent. */
+	private final Map<String, Long> reportedAtMs = new HashMap<>();
+
+	/** When peers last reported engines as working that this router found silent. */
+	private final Map<String, Long> workingAtMs = new HashMap<>();
+
 	private final QueryBudget budget = new QueryBudget();
 
 	/**
@@ -176,12 +201,63 @@
 		if (state == null || state.upstream().held() == null) {
 			return;
 		}
+		this.reportedAtMs.put(incarnation, this.router.nowMs());
+		if (progresses(incarnation)) {
+			return;
+		}
 		state.avoidUntil(this.router.nowMs() + REPORTED_BACKOFF_MS);
 		if (this.leads.getAsBoolean() || usedByOwnStream(incarnation)) {
 			new Round().query(state.upstream());
 		}
 	}
 
+	/**
+	 * Returns the engines that peers reported as silent although streams of this router
+	 * make progress over them: the peers are cut off from these engines.
+	 * @return their incarnations; nearly always none
+	 */
+	List<String> workingReported() {
+		if (this.reportedAtMs.isEmpty()) {
+			return List.of();
+		}
+		long nowMs = this.router.nowMs();
+		this.reportedAtMs.values().removeIf((atMs) -> nowMs - atMs > REPORT_MS);
+		return this.reportedAtMs.keySet().stream().filter(this::progresses).toList();
+	}
+
+	/**
+	 * Handles the report of a peer that streams make progress over an engine. This router
+	 * does not reach the engine itself, but paths may pass through it.
+	 * @param incarnation the incarnation of the engine
+	 */
+	void workingReportReceived(String incarnation) {
+		Suspicion suspicion = this.suspicions.remove(incarnation);
+		if (suspicion == null && !this.workingAtMs.containsKey(incarnation)) {
+			return;
+		}
+		this.workingAtMs.put(incarnation, this.router.nowMs());
+		UpstreamState state = this.router.directory().find(incarnation);
+		if (suspicion != null && state != null) {
+			state.avoidUntil(Long.MIN_VALUE);
+			logger.atInfo()
+				.log("event=engine-working engine=%s address=%s unanswered=%d", incarnation,
+						suspicion.upstream.address(), suspicion.unanswered);
+		}
+	}
+
+	private boolean works(String incarnation) {
+		long nowMs = this.router.nowMs();
+		this.workingAtMs.values().removeIf((atMs) -> nowMs - atMs > REPORT_MS);
+		return this.workingAtMs.containsKey(incarnation) || progresses(incarnation);
+	}
+
+	private boolean progresses(String incarnation) {
+		long sinceMs = this.router.nowMs() - PROGRESS_MS;
+		return this.streams.stream()
+			.anyMatch((stream) -> stream.eventBatches() > 0 && stream.progressAtMs() > sinceMs
+					&& stream.target().engineIds().contains(incarnation));
+	}
+
 	// A router that neither plans repairs nor has a stream over the engine only avoids
 	// it: otherwise each router of a large fleet would query each engine that any
 	// router suspects.
@@ -312,7 +388,8 @@
 	}
 
 	private void onSilent(Upstream upstream, boolean replied) {
-		if (!replied && !this.router.reachability().of(upstream.service()).judgesUpstreams()) {
+		if (!replied && (!this.router.reachability().of(upstream.service()).judgesUpstreams()
+				|| works(upstream.incarnation()))) {
 			return;
 		}
 		UpstreamState state = this.router.directory().find(upstream.incarnation());
@@ -329,8 +406,16 @@
 				.log("event=engine-suspect engine=%s address=%s unanswered=%d answered=%s", upstream.incarnation(),
 						upstream.address(), suspicion.unanswered, replied);
 			this.onChange.run();
+			failOverOncePeersReported();
+		}
+	}
+
+	private void failOverOncePeersReported() {
+		if (this.router.peers().activeCount(this.router.nowMs()) == 0) {
 			failOverFromSuspects(pauses());
+			return;
 		}
+		this.router.loop().schedule(() -> failOverFromSuspects(pauses()), PEER_REPORT_MS, TimeUnit.MILLISECONDS);
 	}
 
 	private void onWorking(Upstream upstream) {
--- a/whinjunction-router/src/main/java/io/whinjunction/router/PeerCodec.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/PeerCodec.java
@@ -78,7 +78,7 @@
 				status.routers(), status.leaving(), status.paceByEngine(), status.leading(), status.leaderAgeMs(),
 				list.version().revision(), list.changedAt(), list.ageMs(), list.watching(), list.version().era(),
 				status.storeEra(), status.storeReturnAgeMs(), status.reach().contactAgesMs(), status.reach().relays(),
-				status.reach().leaseReleased());
+				status.reach().leaseReleased(), status.reach().workingEngines());
 	}
 
 	private static ChangesAnswer encoded(UpstreamChanges changes) {
@@ -184,8 +184,8 @@
 				status.getSequence(), status.isAnswer(), status.getVersion(), status.getProofAgeMs(),
 				status.getSuspects(), status.getTokenLayersByEngine(), status.getRouters(), status.isLeaving(),
 				status.getPaceByEngine(), status.isLeading(), status.getLeaderAgeMs(), list, status.getStoreEra(),
-				status.getStoreReturnAgeMs(),
-				new PeerReach(status.getContactAgesMs(), status.isRelays(), status.isLeaseReleased())));
+				status.getStoreReturnAgeMs(), new PeerReach(status.getContactAgesMs(), status.isRelays(),
+						status.isLeaseReleased(), status.getWorkingEngines())));
 	}
 
 	private static boolean allValid(List<String> addresses) {
--- a/whinjunction-router/src/main/java/io/whinjunction/router/PeerMessageHandler.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/PeerMessageHandler.java
@@ -62,7 +62,8 @@
 				this.load.tokenLayers(nowMs), this.router.peers().advertisedAddresses(nowMs), this.router.stopping(),
 				this.layerReconciler.slowdowns(), this.leadership.holds(), this.router.peers().leaderAgeMs(nowMs),
 				this.directorySynchronizer.state(), this.era.current(), this.configurationSynchronizer.restoreAgeMs(),
-				new PeerReach(this.router.reachability().contactAgesMs(), true, this.leadership.released()));
+				new PeerReach(this.router.reachability().contactAgesMs(), true, this.leadership.released(),
+						this.router.engineMonitor().workingReported()));
 	}
 
 	@Override
@@ -78,6 +79,7 @@
 			this.router.engineMonitor().peerAnswered();
 		}
 		status.suspects().forEach(this.router.engineMonitor()::suspectReported);
+		status.reach().workingEngines().forEach(this.router.engineMonitor()::workingReportReceived);
 		this.configurationSynchronizer.peerVersionReceived(status.version(), peers.provedAtMs(status),
 				status.address());
 		this.directorySynchronizer.peerStateReceived(status.address(), status.list(), peers.listProvedAtMs(status));
--- a/whinjunction-router/src/main/java/io/whinjunction/router/PeerReach.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/PeerReach.java
@@ -1,5 +1,6 @@
 package io.whinjunction.router;
 
+import java.util.List;
 import java.util.Map;
 
 /**
@@ -11,17 +12,20 @@
  * @param relays whether it sends requests of other routers; an older build does not
  * @param leaseReleased whether it released the lease lately, so that another router has
  * to acquire it
+ * @param workingEngines incarnations of engines that others reported as silent, and that
+ * work as far as the router sees
  */
-record PeerReach(Map<String, Long> contactAgesMs, boolean relays, boolean leaseReleased) {
+record PeerReach(Map<String, Long> contactAgesMs, boolean relays, boolean leaseReleased, List<String> workingEngines) {
 
 	/** In place of an age: no upstream of the service is reached now. */
 	static final long NOT_REACHED = -1;
 
 	/** The reach of a router that reports none. */
-	static final PeerReach NONE = new PeerReach(Map.of(), false, false);
+	static final PeerReach NONE = new PeerReach(Map.of(), false, false, List.of());
 
 	PeerReach {
 		contactAgesMs = Map.copyOf(contactAgesMs);
+		workingEngines = List.copyOf(workingEngines);
 	}
 
 	/**
--- a/whinjunction-router/src/main/java/io/whinjunction/router/RelayHeaders.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/RelayHeaders.java
@@ -82,7 +82,7 @@
 	}
 
 	static void setOutcome(HttpHeaders headers, Outcome outcome) {
-		headers.set(OUTCOME, outcome.name().toLowerCase(Locale.ROOT));
+		headers.set(OUTCOME, outcome.logName());
 	}
 
 	/**
@@ -93,7 +93,7 @@
 	static Outcome outcome(HttpHeaders headers) {
 		String name = headers.get(OUTCOME, "");
 		return Arrays.stream(Outcome.values())
-			.filter((outcome) -> outcome.name().equalsIgnoreCase(name))
+			.filter((outcome) -> outcome.logName().equals(name))
 			.findFirst()
 			.orElse(Outcome.UNKNOWN);
 	}
@@ -108,7 +108,15 @@
 		/** The request is not allowed, and did not run. */
 		DENIED,
 		/** The request may have run. */
-		UNKNOWN
+		UNKNOWN;
+
+		/**
+		 * Returns the name in headers and metrics.
+		 * @return one word
+		 */
+		String logName() {
+			return name().toLowerCase(Locale.ROOT).replace('_', '-');
+		}
 
 	}
 
