--- a/whinjunction-entry/src/main/java/io/whinjunction/entry/DraftHandler.java
+++ b/whinjunction-entry/src/main/java/io/whinjunction/entry/DraftHandler.java
@@ -79,6 +79,8 @@
 		result.hops().forEach((hop) -> trace(record.span(), hop));
 		this.context.metrics().retried(model.name(), result.attempts() - 1);
 		this.context.metrics().tokens(model.name(), result.tokens().size());
+		// Whoever has the whole answer may ask at once what happened.
+		record.end(result.outcome());
 		switch (result.outcome()) {
 			case Outcome.Answered ignored -> writer.complete(result.tokens());
 			case Outcome.NotRun notRun -> writer.fail(result.outcome(), notRun.refusal());
--- a/whinjunction-entry/src/main/java/io/whinjunction/entry/RequestRecord.java
+++ b/whinjunction-entry/src/main/java/io/whinjunction/entry/RequestRecord.java
@@ -43,6 +43,8 @@
 
 	private long revision;
 
+	private boolean ended;
+
 	RequestRecord(EntryContext context, String requestId, Span span) {
 		this.context = context;
 		this.requestId = requestId;
@@ -90,7 +92,15 @@
 			.collect(Collectors.joining("; "));
 	}
 
+	/**
+	 * Reports the request, unless that was done.
+	 * @param outcome its outcome
+	 */
 	void end(Outcome outcome) {
+		if (this.ended) {
+			return;
+		}
+		this.ended = true;
 		Refusal refusal = switch (outcome) {
 			case Outcome.Answered ignored -> null;
 			case Outcome.NotRun notRun -> notRun.refusal();
