A controller that reaches no engine leaves the lease to others

Same class as the router that is cut off: the holder kept the lease, renewed it and could give no order, so no other controller planned. After two rounds without the reply of any engine it releases the lease and stands aside for two times to live.

--- a/whinjunction-controller/src/main/java/io/whinjunction/controller/Controller.java
+++ b/whinjunction-controller/src/main/java/io/whinjunction/controller/Controller.java
@@ -41,8 +41,8 @@
  * Invariant: an order is issued only while this process holds the lease according to its
  * own clock, and never after {@link #close()}. Each order carries the fencing number of
  * the lease. An engine that requested a backoff is neither queried nor given an order
- * until its end. Planning and issuing run on one thread; the operator port only reads
- * state.
+ * until its end. A controller that reaches no engine leaves the lease to others for a
+ * while. Planning and issuing run on one thread; the operator port only reads state.
  */
 public final class Controller implements AutoCloseable {
 
@@ -56,6 +56,12 @@
 
 	private static final long SWEEP_INTERVAL_MS = 60_000;
 
+	/** Rounds in a row without the reply of any engine until the lease is released. */
+	private static final int MAX_ROUNDS_WITHOUT_REPLY = 2;
+
+	/** For how many times to live another controller may acquire a released lease. */
+	private static final int ASIDE_LEASE_TIMES = 2;
+
 	private final ControllerSettings settings;
 
 	private final Ticker ticker = Ticker.system();
@@ -82,6 +88,12 @@
 
 	private long lastSweepMs;
 
+	/** Rounds in a row in which no engine replied. */
+	private int roundsWithoutReply;
+
+	/** Until when this controller leaves the lease to others, in milliseconds. */
+	private long asideUntilMs = Long.MIN_VALUE;
+
 	private volatile boolean closed;
 
 	/**
@@ -132,6 +144,9 @@
 	}
 
 	private void step() {
+		if (this.ticker.nowMs() < this.asideUntilMs) {
+			return;
+		}
 		boolean heldBefore = this.lease.holds();
 		this.lease.renewOrAcquire();
 		if (this.lease.holds() != heldBefore) {
@@ -164,10 +179,12 @@
 		this.reports.keySet().retainAll(listed.instances().stream().map(Instance::id).toList());
 		List<Upstream> upstreams = new ArrayList<>();
 		int loading = 0;
+		int engineCount = 0;
 		for (Instance instance : listed.instances()) {
 			if (!(this.configuration.configuration().services().get(instance.service()) instanceof Service.Model)) {
 				continue;
 			}
+			engineCount++;
 			EngineReport report = report(instance);
 			if (report == null) {
 				continue;
@@ -177,12 +194,32 @@
 					report.range(), report.generation(), report.tokensPerSecond(), report.running(),
 					instance.leaving() || report.leaving()));
 		}
+		if (engineCount > 0 && upstreams.isEmpty()) {
+			standAsideIfCutOff(engineCount);
+			return;
+		}
+		this.roundsWithoutReply = 0;
 		for (Move move : PlacementPlanner.plan(this.configuration.configuration(), upstreams,
 				this.settings.loadsAtOnce(), loading)) {
 			issueOrder(move);
 		}
 	}
 
+	// Whether the engines have ended or this controller is cut off from them can't be
+	// told
+	// here; another controller may reach them.
+	private void standAsideIfCutOff(int engineCount) {
+		this.roundsWithoutReply++;
+		if (this.roundsWithoutReply < MAX_ROUNDS_WITHOUT_REPLY) {
+			return;
+		}
+		this.roundsWithoutReply = 0;
+		logger.atWarning()
+			.log("controller %s releases the lease: none of %d engines replied", this.settings.id(), engineCount);
+		this.lease.resign();
+		this.asideUntilMs = this.ticker.nowMs() + ASIDE_LEASE_TIMES * this.settings.leaseMs();
+	}
+
 	// The layers of an engine that requested a backoff are still there: without its last
 	// report they would be loaded elsewhere.
 	private EngineReport report(Instance instance) {
