Relays: older peers as a last resort, refusals name their time, a refusal is no failure of the peer

Found in review. A peer whose last status is from before a change of the configuration was never asked, so callers were refused for up to a second after each change in a cut; a refusal of one request kept a peer from all others for half a second; Retry-After of a relay was not passed on. Probes go to any upstream: if only those at which requests start have ended, others show that the paths work, and the loss is judged at once.

--- a/whinjunction-router/src/main/java/io/whinjunction/router/Attempt.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/Attempt.java
@@ -371,6 +371,14 @@
 				&& router.reachability().contactAgeMs(this.session.service().name()) > limitMs;
 	}
 
+	/**
+	 * Whether the peer that was to relay the request answered it.
+	 * @return {@code false} if it could not be reached, or its answer was lost
+	 */
+	boolean answeredByRelay() {
+		return this.relayOutcome != null;
+	}
+
 	/** Handles that the peer that relays the request does not answer queries. */
 	void onRelaySilent() {
 		if (underWay()) {
@@ -558,6 +566,7 @@
 		switch (this.relayOutcome) {
 			case NOT_RUN -> {
 				settle();
+				this.session.recordRelayRefusal(this.head.notice().retryAfterMs());
 				notSent(reason);
 			}
 			case DENIED -> {
--- a/whinjunction-router/src/main/java/io/whinjunction/router/EngineMonitor.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/EngineMonitor.java
@@ -85,11 +85,14 @@
 	private static final long PROGRESS_MS = 80;
 
 	/**
-	 * How long peers have to report that an engine works before streams leave it, in
-	 * milliseconds: a round trip.
+	 * How long peers have at least to report that an engine works before streams leave
+	 * it, in milliseconds: a round trip.
 	 */
 	private static final long PEER_REPORT_MS = 10;
 
+	/** The same if no peer answers, in milliseconds. */
+	private static final long MAX_PEER_REPORT_MS = 40;
+
 	/**
 	 * How long the report of a peer about an engine is taken into account, in
 	 * milliseconds.
@@ -371,8 +374,7 @@
 		return stream.target()
 			.path()
 			.stream()
-			.filter((hop) -> this.suspicions.containsKey(hop.engine().id())
-					|| this.router.directory().superseded(hop.engine().id()))
+			.filter((hop) -> leaveable(hop.engine().id()) || this.router.directory().superseded(hop.engine().id()))
 			.map((hop) -> hop.engine().address())
 			.findFirst();
 	}
@@ -397,8 +399,10 @@
 			this.suspicions.remove(upstream.incarnation());
 			return;
 		}
-		Suspicion suspicion = this.suspicions.computeIfAbsent(upstream.incarnation(), (id) -> new Suspicion(upstream));
+		Suspicion suspicion = this.suspicions.computeIfAbsent(upstream.incarnation(),
+				(id) -> new Suspicion(upstream, this.router.nowMs()));
 		suspicion.unanswered++;
+		suspicion.replied |= replied;
 		this.timer.checkWithin(CheckTimer.MIN_INTERVAL_MS);
 		state.avoidUntil(this.router.nowMs() + BACKOFF_MS);
 		if (suspicion.unanswered <= LOST_AFTER_UNANSWERED) {
@@ -411,13 +415,23 @@
 	}
 
 	private void failOverOncePeersReported() {
-		if (this.router.peers().activeCount(this.router.nowMs()) == 0) {
-			failOverFromSuspects(pauses());
-			return;
-		}
+		failOverFromSuspects(pauses());
 		this.router.loop().schedule(() -> failOverFromSuspects(pauses()), PEER_REPORT_MS, TimeUnit.MILLISECONDS);
 	}
 
+	// Peers may know that the engine works.
+	private boolean leaveable(String engineId) {
+		Suspicion suspicion = this.suspicions.get(engineId);
+		if (suspicion == null) {
+			return false;
+		}
+		long sinceMs = this.router.nowMs() - suspicion.reportedAtMs;
+		boolean answered = sinceMs >= PEER_REPORT_MS
+				&& this.router.peers().answeredSince(this.router.bootMs() - sinceMs);
+		return suspicion.replied || answered || sinceMs >= MAX_PEER_REPORT_MS
+				|| this.router.peers().activeCount(this.router.nowMs()) == 0;
+	}
+
 	private void onWorking(Upstream upstream) {
 		UpstreamState state = this.router.directory().find(upstream.incarnation());
 		Suspicion cleared = this.suspicions.remove(upstream.incarnation());
@@ -569,10 +583,16 @@
 
 		private final Upstream upstream;
 
+		private final long reportedAtMs;
+
 		private int unanswered;
 
-		Suspicion(Upstream upstream) {
+		/** Whether it replied that it holds no layers. */
+		private boolean replied;
+
+		Suspicion(Upstream upstream, long reportedAtMs) {
 			this.upstream = upstream;
+			this.reportedAtMs = reportedAtMs;
 		}
 
 	}
--- a/whinjunction-router/src/main/java/io/whinjunction/router/ForwardSession.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/ForwardSession.java
@@ -106,6 +106,9 @@
 	/** Whether the newest repeat was lent by another router. */
 	private boolean borrowed;
 
+	/** When the last relay that refused the request may take it, in milliseconds. */
+	private long relayRetryAfterMs;
+
 	/** When a request that crashes upstreams may be retried, in milliseconds. */
 	private long crashRetryAfterMs = RETRY_AFTER_MS;
 
@@ -612,7 +615,9 @@
 		Upstream first = ended.target().first();
 		if (first.isRouter()) {
 			this.history.recordFailure(first.incarnation());
-			this.router.relays().failed(first);
+			if (!ended.answeredByRelay()) {
+				this.router.relays().failed(first);
+			}
 			return;
 		}
 		if (!this.router.reachability().of(this.service.name()).judgesUpstreams()) {
@@ -634,7 +639,8 @@
 		return switch (this.obstacle) {
 			case STOPPING -> RequestGate.RETRY_ELSEWHERE_MS;
 			case CRASHES_UPSTREAMS -> this.crashRetryAfterMs;
-			default -> Math.max(RETRY_AFTER_MS, this.router.chooser().backoffMs(this.service));
+			default -> Math.max(Math.max(RETRY_AFTER_MS, this.relayRetryAfterMs),
+					this.router.chooser().backoffMs(this.service));
 		};
 	}
 
@@ -693,6 +699,14 @@
 		finish("answered", Integer.toString(answer.status().code()), answer);
 	}
 
+	/**
+	 * Records that a relay refused the request.
+	 * @param retryAfterMs when it may take it, in milliseconds; -1 if it named no time
+	 */
+	void recordRelayRefusal(long retryAfterMs) {
+		this.relayRetryAfterMs = retryAfterMs;
+	}
+
 	/**
 	 * Passes on that a relay does not allow the request by its configuration.
 	 * @param answer the answer of the relay
--- a/whinjunction-router/src/main/java/io/whinjunction/router/PeerRelays.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/PeerRelays.java
@@ -38,7 +38,7 @@
 	 */
 	private static final int MAX_FOR_PEERS = 256;
 
-	/** How long a peer is avoided that did not take a request, in milliseconds. */
+	/** How long a peer is avoided that could not be reached, in milliseconds. */
 	private static final long AVOID_MS = 500;
 
 	/** The interval between checks of quiet requests, in milliseconds. */
@@ -92,16 +92,21 @@
 		long nowMs = this.router.nowMs();
 		RoutingConfiguration configuration = this.router.configuration();
 		List<Upstream> usable = new ArrayList<>();
+		List<Upstream> older = new ArrayList<>();
 		for (PeerStatus status : this.router.peers().activeStatuses(nowMs)) {
-			if (!status.serves() || status.version() < configuration.version() || !status.reach().relaysTo(service)) {
+			if (!status.serves() || !status.reach().relaysTo(service)) {
 				continue;
 			}
 			Upstream peer = Upstream.router(status.name(), status.address(), status.failureDomain());
 			if (!excluded.contains(peer.incarnation())
 					&& this.avoidedUntilMs.getOrDefault(peer.incarnation(), nowMs) <= nowMs) {
-				usable.add(peer);
+				((status.version() < configuration.version()) ? older : usable).add(peer);
 			}
 		}
+		if (usable.isEmpty()) {
+			// They may have read the configuration since their last status.
+			usable = older;
+		}
 		if (usable.isEmpty()) {
 			return Optional.empty();
 		}
@@ -183,7 +188,7 @@
 	}
 
 	/**
-	 * Records that a peer did not take a request, or did not answer it.
+	 * Records that a peer could not be reached, or did not answer a request.
 	 * @param peer the peer
 	 */
 	void failed(Upstream peer) {
--- a/whinjunction-router/src/main/java/io/whinjunction/router/ReachabilityMonitor.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/ReachabilityMonitor.java
@@ -314,12 +314,12 @@
 		}
 	}
 
-	// Upstreams at which requests start, and of these the ones that were not connected
-	// to.
+	// Any other upstream shows whether the paths work, also one at which no request
+	// starts; those that failed are tried to find out when they work again.
 	private List<Upstream> candidates(String name) {
 		Collection<UpstreamState> active = this.router.directory().active(name);
 		Set<String> unconnected = service(name).unconnected();
-		List<Upstream> starts = new ArrayList<>();
+		List<Upstream> others = new ArrayList<>();
 		List<Upstream> failed = new ArrayList<>();
 		for (UpstreamState state : active) {
 			Upstream upstream = state.upstream();
@@ -329,13 +329,13 @@
 			if (unconnected.contains(state.incarnation())) {
 				failed.add(upstream);
 			}
-			else if (upstream.held() == null || upstream.held().first() == 0) {
-				starts.add(upstream);
+			else {
+				others.add(upstream);
 			}
 		}
 		boolean reached = of(name) == Reachability.REACHED;
-		return (!failed.isEmpty() && (reached || starts.isEmpty() || this.router.random().nextBoolean())) ? failed
-				: starts;
+		return (!failed.isEmpty() && (reached || others.isEmpty() || this.router.random().nextBoolean())) ? failed
+				: others;
 	}
 
 	private void probe(Upstream upstream) {
