A released lease is taken at once

The status says how long ago the lease was released; what was seen of the leader before no longer counts.

--- a/whinjunction-protocol/src/main/thrift/router.thrift
+++ b/whinjunction-protocol/src/main/thrift/router.thrift
@@ -48,8 +48,8 @@
   22: map<string, i64> contactAgesMs = {}
   /* The sender sends requests of routers that are cut off from upstreams. */
   23: bool relays = 0
-  /* The sender released the lease lately. */
-  24: bool leaseReleased = 0
+  /* How long ago the sender released the lease; -1: it did not, or long ago. */
+  24: i64 leaseReleaseAgeMs = -1
   /* Engines that other routers reported as silent and that work as far as the sender sees, by name and start time. */
   25: list<string> workingEngines = []
 }
--- a/whinjunction-router/src/main/java/io/whinjunction/router/Leadership.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/Leadership.java
@@ -39,6 +39,11 @@
 	/** The interval at which a candidate polls, in milliseconds. */
 	private static final long POLL_INTERVAL_MS = 400;
 
+	/** How long peers are told of a release, in milliseconds. */
+	private static final long RELEASE_TOLD_MS = 3000;
+
+	private static final long NEVER_MS = Long.MIN_VALUE / 2;
+
 	private final EventLoop loop;
 
 	private final FleetStore store;
@@ -57,7 +62,7 @@
 
 	private boolean stopped;
 
-	private boolean released;
+	private long releasedAtMs = NEVER_MS;
 
 	/**
 	 * Creates a candidate.
@@ -113,17 +118,17 @@
 		}
 		this.candidate.renewal(this.ticker.nowMs()).ifPresent(this::release);
 		this.candidate.lost();
-		this.released = true;
+		this.releasedAtMs = this.ticker.nowMs();
 		setLeading(false);
 	}
 
 	/**
-	 * Returns whether this process has released the lease and no other holder is known.
-	 * @return whether peers have to acquire it
+	 * Returns how long ago this process released the lease so that others lead.
+	 * @return milliseconds; -1 if it did not, or so long ago that all routers know
 	 */
-	boolean released() {
-		this.released &= !this.peerLeads.getAsBoolean();
-		return this.released;
+	long releaseAgeMs() {
+		long ageMs = this.ticker.nowMs() - this.releasedAtMs;
+		return (ageMs < RELEASE_TOLD_MS) ? ageMs : -1;
 	}
 
 	private void release(LeaseCandidate.Claim claim) {
@@ -223,7 +228,6 @@
 
 	private void confirm(LeaseCandidate.Claim claim, StoreVersion version, long startMs) {
 		this.candidate.written(claim, version, startMs);
-		this.released = false;
 		setLeading(true);
 		scheduleStep(RENEW_INTERVAL_MS);
 	}
--- a/whinjunction-router/src/main/java/io/whinjunction/router/PeerReach.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/PeerReach.java
@@ -10,18 +10,18 @@
  * its last contact with one, in milliseconds; {@link #NOT_REACHED} for a service that it
  * does not reach now
  * @param relays whether it sends requests of other routers; an older build does not
- * @param leaseReleased whether it released the lease lately, so that another router has
- * to acquire it
+ * @param leaseReleaseAgeMs how long ago it released the lease, so that another router has
+ * to acquire it, in milliseconds; -1 where it did not, or long ago
  * @param workingEngines incarnations of engines that others reported as silent, and that
  * work as far as the router sees
  */
-record PeerReach(Map<String, Long> contactAgesMs, boolean relays, boolean leaseReleased, List<String> workingEngines) {
+record PeerReach(Map<String, Long> contactAgesMs, boolean relays, long leaseReleaseAgeMs, List<String> workingEngines) {
 
 	/** In place of an age: no upstream of the service is reached now. */
 	static final long NOT_REACHED = -1;
 
 	/** The reach of a router that reports none. */
-	static final PeerReach NONE = new PeerReach(Map.of(), false, false, List.of());
+	static final PeerReach NONE = new PeerReach(Map.of(), false, -1, List.of());
 
 	PeerReach {
 		contactAgesMs = Map.copyOf(contactAgesMs);
--- a/whinjunction-router/src/main/java/io/whinjunction/router/PeerTable.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/PeerTable.java
@@ -297,7 +297,10 @@
 	}
 
 	private void updateLeader(PeerStatus status, long nowMs) {
-		if ((status.leading() && status.leaving()) || status.reach().leaseReleased()) {
+		if (status.reach().leaseReleaseAgeMs() >= 0) {
+			this.leaderLeftAtMs = Math.max(this.leaderLeftAtMs, nowMs - status.reach().leaseReleaseAgeMs());
+		}
+		if (status.leading() && status.leaving()) {
 			// The lease is released: another router has to acquire it at once, even if
 			// peers still relay the leader's earlier statuses.
 			this.leaderLeftAtMs = nowMs;
