--- a/whinjunction-router/src/main/java/io/whinjunction/router/ReachabilityMonitor.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/ReachabilityMonitor.java
@@ -107,7 +107,7 @@
 	 * @param startedMs when the attempt began
 	 */
 	void connectFailed(Upstream upstream, long startedMs) {
-		if (!upstream.isRouter()) {
+		if (stays(upstream.incarnation())) {
 			service(upstream.service()).connectFailed(upstream.incarnation(), startedMs);
 			doubt(upstream);
 		}
@@ -129,8 +129,16 @@
 	 * @param sinceMs when it was queried, or when the connection broke off
 	 */
 	void silent(Upstream upstream, long sinceMs) {
-		service(upstream.service()).silent(upstream.incarnation(), sinceMs);
-		doubt(upstream);
+		if (stays(upstream.incarnation())) {
+			service(upstream.service()).silent(upstream.incarnation(), sinceMs);
+			doubt(upstream);
+		}
+	}
+
+	// An upstream that leaves ends its connections itself. A router is never listed.
+	private boolean stays(String incarnation) {
+		UpstreamState state = this.router.directory().find(incarnation);
+		return state != null && !state.leaving();
 	}
 
 	private void doubt(Upstream upstream) {
@@ -281,7 +289,7 @@
 		boolean pending = false;
 		for (String name : List.copyOf(this.services.keySet())) {
 			ServiceReachability service = service(name);
-			service.retain((upstream) -> this.router.directory().find(upstream) != null);
+			service.retain(this::stays);
 			judge(name);
 			switch (of(name)) {
 				case CUT_OFF -> this.listener.cutOff(name);
