Services that are not configured leave no trace; suspects are withheld by service

Found in review: a status could name any service and let a record of it grow, and a router that was cut off from one service told nobody of engines of another. Tests share their set-up.

--- a/whinjunction-controller/src/test/java/io/whinjunction/controller/EngineBackoffTests.java
+++ b/whinjunction-controller/src/test/java/io/whinjunction/controller/EngineBackoffTests.java
@@ -26,7 +26,7 @@
  */
 class EngineBackoffTests {
 
-	private static final String CONFIGURATION = """
+	static final String CONFIGURATION = """
 			[places.poa]
 			region = "rs-sul"
 			failure-domains = ["poa-a"]
--- a/whinjunction-controller/src/test/java/io/whinjunction/controller/UnreachableEnginesTests.java
+++ b/whinjunction-controller/src/test/java/io/whinjunction/controller/UnreachableEnginesTests.java
@@ -25,16 +25,6 @@
  */
 class UnreachableEnginesTests {
 
-	private static final String CONFIGURATION = """
-			[places.poa]
-			region = "rs-sul"
-			failure-domains = ["poa-a"]
-			[services.whin-llm]
-			kind = "model"
-			layers = 4
-			layer-ranges = ["0-2", "2-4"]
-			""";
-
 	private static final String REPORT = """
 			{"service":"whin-llm","range":"0-2","generation":1,"fencing":0,"running":0,"tokens-per-second":1}""";
 
@@ -81,7 +71,7 @@
 	}
 
 	private void start(Closer closer, int enginePort) {
-		ObjectNode document = (ObjectNode) new TomlMapper().readTree(CONFIGURATION);
+		ObjectNode document = (ObjectNode) new TomlMapper().readTree(EngineBackoffTests.CONFIGURATION);
 		this.store.write(Manifest.KEY, new Manifest(1, document, "n").toJson(), ObjectStore.ABSENT);
 		this.store.putInstance(new Instance("e-1", "whin-llm", "127.0.0.1:" + enginePort, "poa-a", "kind-1", false));
 		HttpServer platform = closer
--- a/whinjunction-router/src/main/java/io/whinjunction/router/EngineMonitor.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/EngineMonitor.java
@@ -176,10 +176,15 @@
 
 	/**
 	 * Returns the engines that this router itself found silent.
-	 * @return their incarnations; empty while its own paths may be the reason
+	 * @return their incarnations, without those to which its own paths are in doubt
 	 */
 	List<String> suspects() {
-		return this.router.reachability().doubtful() ? List.of() : List.copyOf(this.suspicions.keySet());
+		return this.suspicions.values()
+			.stream()
+			.map((suspicion) -> suspicion.upstream)
+			.filter((upstream) -> this.router.reachability().of(upstream.service()).judgesUpstreams())
+			.map(Upstream::incarnation)
+			.toList();
 	}
 
 	/**
--- a/whinjunction-router/src/main/java/io/whinjunction/router/ReachabilityMonitor.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/ReachabilityMonitor.java
@@ -13,6 +13,7 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import io.whinjunction.reachability.Reachability;
 import io.whinjunction.reachability.ServiceReachability;
+import io.whinjunction.routing.RoutingConfiguration;
 
 /**
  * Detects that this router is cut off from the upstreams of a service, and the end of
@@ -156,13 +157,18 @@
 	}
 
 	/**
-	 * Records what a peer reaches. Where it does not reach a service that this router
-	 * reaches, this router makes sure, so that the peer can tell why.
+	 * Records what a peer reaches of the configured services. Where it does not reach a
+	 * service that this router reaches, this router makes sure, so that the peer can tell
+	 * why.
 	 * @param reach the reach of the peer
 	 */
 	void peerReach(PeerReach reach) {
 		long nowMs = this.router.nowMs();
+		RoutingConfiguration configuration = this.router.configuration();
 		reach.contactAgesMs().forEach((name, ageMs) -> {
+			if (configuration == null || configuration.service(name) == null) {
+				return;
+			}
 			if (ageMs >= 0) {
 				service(name).peerContact(nowMs - ageMs);
 			}
@@ -273,7 +279,7 @@
 					before, service.unconnected().size(), this.router.nowMs() - service.evidenceSinceMs());
 		if (before == Reachability.REACHED) {
 			// What keeps this router from one service may keep it from others.
-			this.services.keySet().forEach((other) -> probe(other, FIRST_PROBES));
+			List.copyOf(this.services.keySet()).forEach((other) -> probe(other, FIRST_PROBES));
 		}
 		this.listener.changed(name, now, service.evidenceSinceMs());
 	}
