--- a/whinjunction-core/src/test/java/io/whinjunction/architecture/SlicesTests.java
+++ b/whinjunction-core/src/test/java/io/whinjunction/architecture/SlicesTests.java
@@ -27,7 +27,8 @@
 		ArchRuleDefinition.noClasses()
 			.that()
 			.resideInAnyPackage("..outcome..", "..configuration..", "..place..", "..membership..", "..limit..",
-					"..admission..", "..once..", "..lease..", "..order..", "..pipeline..", "..session..")
+					"..admission..", "..once..", "..lease..", "..order..", "..pipeline..", "..session..",
+					"..reachability..")
 			.should()
 			.dependOnClassesThat()
 			.resideInAnyPackage("io.netty..", "org.asynchttpclient..", "org.apache.thrift..")
