What a relay's upstreams turned away counts against sends and the retry budget

A request that an engine turned away was handed from relay to relay, and each sent it to the same engine.

Cause: a relay's 503 was taken as not sent, though its upstreams may have turned the request away; the next send then counted as the first. The relay says how often it sent the request, and the first router counts that: at most its route's sends, each further one out of the budget.

--- a/whinjunction-router/src/main/java/io/whinjunction/router/Attempt.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/Attempt.java
@@ -87,6 +87,8 @@
 	/** What the relay says about the request; {@code null} for an upstream's answer. */
 	private RelayHeaders.Outcome relayOutcome;
 
+	private int sentByRelay;
+
 	private Answer answer;
 
 	private boolean streaming;
@@ -371,6 +373,14 @@
 				&& router.reachability().contactAgeMs(this.session.service().name()) > limitMs;
 	}
 
+	/**
+	 * Returns how often the peer that was to relay the request sent it to upstreams.
+	 * @return the count; 0 before its answer
+	 */
+	int sentByRelay() {
+		return this.sentByRelay;
+	}
+
 	/**
 	 * Whether the peer that was to relay the request answered it.
 	 * @return {@code false} if it could not be reached, or its answer was lost
@@ -488,6 +498,7 @@
 			}
 			case Target.Relay relay -> {
 				this.relayOutcome = RelayHeaders.outcome(headers);
+				this.sentByRelay = RelayHeaders.sent(headers);
 				if (this.relayOutcome == RelayHeaders.Outcome.ANSWERED) {
 					this.session.router().reachability().relayed(this.session.service().name());
 				}
@@ -561,13 +572,22 @@
 		}
 	}
 
+	private void endNotRunByRelay(String reason) {
+		this.session.recordRelayRefusal(this.head.notice().retryAfterMs());
+		if (this.sentByRelay > 0) {
+			end(new AttemptOutcome.NotRun(reason), null);
+		}
+		else {
+			notSent(reason);
+		}
+	}
+
 	private void endUnanswered() {
 		String reason = "relay-status-" + this.head.status();
 		switch (this.relayOutcome) {
 			case NOT_RUN -> {
 				settle();
-				this.session.recordRelayRefusal(this.head.notice().retryAfterMs());
-				notSent(reason);
+				endNotRunByRelay(reason);
 			}
 			case DENIED -> {
 				settle();
@@ -633,7 +653,7 @@
 			}
 			case Target.Relay relay -> {
 				if (this.relayOutcome == RelayHeaders.Outcome.NOT_RUN) {
-					notSent(reason);
+					endNotRunByRelay(reason);
 				}
 				else {
 					this.session.onAttemptOutcome(new AttemptOutcome.Unknown(reason), null);
--- a/whinjunction-router/src/main/java/io/whinjunction/router/ForwardSession.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/ForwardSession.java
@@ -428,9 +428,13 @@
 	}
 
 	// Until a relay has answered, it is not known whether an upstream got the request.
+	// What
+	// upstreams turned away counts against the route's sends and the retry budget too.
 	private void recordRelayed(Attempt ended, AttemptOutcome end) {
 		if (ended.target() instanceof Target.Relay relay && !(end instanceof AttemptOutcome.NotSent)) {
-			this.history.recordSent(relay.first().incarnation());
+			for (int sent = 0; sent < Math.max(1, ended.sentByRelay()); sent++) {
+				this.history.recordSent(relay.first().incarnation());
+			}
 		}
 	}
 
@@ -793,7 +797,7 @@
 				case "refused" -> RelayHeaders.Outcome.NOT_RUN;
 				case "denied" -> RelayHeaders.Outcome.DENIED;
 				default -> RelayHeaders.Outcome.UNKNOWN;
-			});
+			}, this.history.sent());
 		}
 	}
 
--- a/whinjunction-router/src/main/java/io/whinjunction/router/RelayHeaders.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/RelayHeaders.java
@@ -30,6 +30,9 @@
 	/** What the answer says about the request: the name of an {@link Outcome}. */
 	private static final String OUTCOME = "whin-relay-outcome";
 
+	/** How often the relay sent the request to upstreams. */
+	private static final String SENT = "whin-relay-sent";
+
 	private RelayHeaders() {
 	}
 
@@ -78,11 +81,27 @@
 	 * @param headers the headers that were received
 	 */
 	static void remove(HttpHeaders headers) {
-		headers.remove(ORIGIN).remove(VERSION).remove(TRIED).remove(WAITED_MS).remove(OUTCOME);
+		headers.remove(ORIGIN).remove(VERSION).remove(TRIED).remove(WAITED_MS).remove(OUTCOME).remove(SENT);
 	}
 
-	static void setOutcome(HttpHeaders headers, Outcome outcome) {
+	/**
+	 * Adds the headers of an answer.
+	 * @param headers the headers to send
+	 * @param outcome what the answer says about the request
+	 * @param sent how often the request was sent to upstreams
+	 */
+	static void setOutcome(HttpHeaders headers, Outcome outcome, int sent) {
 		headers.set(OUTCOME, outcome.logName());
+		headers.setInt(SENT, sent);
+	}
+
+	/**
+	 * Returns how often a relay sent the request to upstreams.
+	 * @param headers the headers of the answer
+	 * @return the count; 0 if it is missing or can't be read
+	 */
+	static int sent(HttpHeaders headers) {
+		return Math.max(0, headers.getInt(SENT, 0));
 	}
 
 	/**
