Log lines name the parts of a prompt that requests share

The lines of a request and of an attempt now bear parts=, an identifier for each part but the last, which is the request's own.

No decision uses them yet.

--- a/whinjunction-core/src/main/java/io/whinjunction/forward/RequestFingerprint.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/forward/RequestFingerprint.java
@@ -4,16 +4,14 @@
 import java.nio.charset.StandardCharsets;
 import java.util.HexFormat;
 import java.util.Optional;
-import java.util.zip.CRC32;
-import java.util.zip.CRC32C;
 
 /**
  * Identifies requests that are repeats of each other under different ids: same caller,
  * method, host, path, query and body. Immutable.
  * <p>
- * Consists of two checksums of 32 bits, which suffices to distinguish the requests of one
- * caller and is cheap enough to compute for each request. It is no protection from a
- * caller that constructs a collision, which could only affect its own requests.
+ * Consists of a {@link Checksum}, which suffices to distinguish the requests of one
+ * caller. It is no protection from a caller that constructs a collision, which could only
+ * affect its own requests.
  *
  * @param value the fingerprint
  */
@@ -25,8 +23,6 @@
 	 */
 	private static final int MAX_BODY_BYTES = 32_768;
 
-	private static final int CHECKSUM_BITS = 32;
-
 	/**
 	 * Computes the fingerprint of a request.
 	 * @param caller the caller, whichever key it uses; empty if callers have no names
@@ -39,13 +35,7 @@
 	public static RequestFingerprint of(String caller, String method, String host, String uri, ByteBuffer body) {
 		byte[] head = String.join("\n", caller, method, host, uri, "").getBytes(StandardCharsets.UTF_8);
 		ByteBuffer counted = body.slice(body.position(), Math.min(body.remaining(), MAX_BODY_BYTES));
-		CRC32C high = new CRC32C();
-		high.update(head);
-		high.update(counted.duplicate());
-		CRC32 low = new CRC32();
-		low.update(head);
-		low.update(counted);
-		return new RequestFingerprint(high.getValue() << CHECKSUM_BITS | low.getValue());
+		return new RequestFingerprint(Checksum.of(ByteBuffer.wrap(head), counted));
 	}
 
 	/**
--- a/whinjunction-router/src/main/java/io/whinjunction/router/CallerRequest.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/CallerRequest.java
@@ -1,5 +1,7 @@
 package io.whinjunction.router;
 
+import java.util.List;
+
 import io.netty.handler.codec.http.HttpHeaders;
 
 /**
@@ -14,12 +16,23 @@
  * @param maxWaitMs how long the caller waits from now, in milliseconds; -1 if not given
  * @param promptTokens tokens of the prompt; 0 if not given
  * @param answerTokens maximum number of tokens of the answer; 0 if not given
+ * @param model the model; empty if not given
+ * @param sharedPartIds the ids of the parts of the prompt that other requests may share,
+ * in order; those beyond {@link #MAX_SHARED_PARTS} are left out
  * @param lastEventId the event after which a stream should resume, or {@code null}
  * @param forwarded the headers that are forwarded to upstreams: without hop-by-hop
  * headers, the key and the headers that a router sets itself
  */
 public record CallerRequest(String id, String method, String uri, String host, String key, long maxWaitMs,
-		int promptTokens, int answerTokens, String lastEventId, HttpHeaders forwarded) {
+		int promptTokens, int answerTokens, String model, List<String> sharedPartIds, String lastEventId,
+		HttpHeaders forwarded) {
+
+	/** Bounds what is tracked of one request. */
+	public static final int MAX_SHARED_PARTS = 32;
+
+	public CallerRequest {
+		sharedPartIds = List.copyOf(sharedPartIds);
+	}
 
 	/**
 	 * Returns the path without the query.
--- a/whinjunction-router/src/main/java/io/whinjunction/router/ForwardSession.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/ForwardSession.java
@@ -15,6 +15,7 @@
 import io.whinjunction.chain.Hop;
 import io.whinjunction.forward.AttemptOutcome;
 import io.whinjunction.forward.CrashingRequests;
+import io.whinjunction.forward.PromptPart;
 import io.whinjunction.forward.RequestFingerprint;
 import io.whinjunction.forward.RetryDecision;
 import io.whinjunction.forward.RetryObstacle;
@@ -71,6 +72,9 @@
 	/** {@code null} until the body is read as far as it is buffered. */
 	private RequestFingerprint fingerprint;
 
+	/** The parts of the prompt that other requests may share; empty until admitted. */
+	private List<PromptPart> parts = List.of();
+
 	private Route route;
 
 	private RoutedTeam team;
@@ -161,6 +165,10 @@
 		this.route = admitted.route();
 		this.team = admitted.team();
 		this.service = admitted.service();
+		this.parts = this.request.sharedPartIds()
+			.stream()
+			.map((id) -> PromptPart.of(this.service.name(), this.request.model(), id))
+			.toList();
 		if (this.route.kind() == RequestKind.STREAMING && this.route.repeatable()) {
 			this.body.keepForResumption();
 		}
@@ -863,6 +871,14 @@
 		return this.fingerprint;
 	}
 
+	/**
+	 * Returns the parts of the prompt that other requests may share.
+	 * @return the parts in order; empty before the request is admitted
+	 */
+	List<PromptPart> parts() {
+		return this.parts;
+	}
+
 	String teamName() {
 		return (this.team != null) ? this.team.name() : null;
 	}
--- a/whinjunction-router/src/main/java/io/whinjunction/router/RequestLog.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/RequestLog.java
@@ -1,7 +1,10 @@
 package io.whinjunction.router;
 
+import java.util.stream.Collectors;
+
 import com.google.common.flogger.FluentLogger;
 import io.whinjunction.forward.AttemptOutcome;
+import io.whinjunction.forward.PromptPart;
 import io.whinjunction.forward.RetryObstacle;
 import io.whinjunction.routing.Route;
 import io.whinjunction.routing.RoutingConfiguration;
@@ -15,6 +18,9 @@
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
+	/** Bounds the length of a log line. */
+	private static final int MAX_LOGGED_PARTS = 4;
+
 	private RequestLog() {
 	}
 
@@ -31,9 +37,9 @@
 		router.metrics().ended(kind, outcome, tookMs);
 		RoutingConfiguration configuration = router.configuration();
 		logger.atInfo()
-			.log("event=request id=%s print=%s outcome=%s reason=%s no-retry=%s kind=%s route=%s service=%s team=%s sent=%d not-sent=%d "
+			.log("event=request id=%s print=%s parts=%s outcome=%s reason=%s no-retry=%s kind=%s route=%s service=%s team=%s sent=%d not-sent=%d "
 					+ "events=%d tokens=%d+%d %s took-ms=%d aim-ms=%d gap-aim-ms=%d taken-in-stop-ms=%s %s version=%d proof-age-ms=%d origin=%s",
-					session.request().id(), print(session), outcome, reason,
+					session.request().id(), print(session), parts(session), outcome, reason,
 					(session.obstacle() != null) ? session.obstacle().logName() : "-", kind,
 					(session.route() != null) ? session.route().name() : "-",
 					(session.service() != null) ? session.service().name() : "-",
@@ -73,6 +79,15 @@
 		return (session.fingerprint() != null) ? session.fingerprint().toString() : "-";
 	}
 
+	private static String parts(ForwardSession session) {
+		return session.parts().isEmpty() ? "-"
+				: session.parts()
+					.stream()
+					.limit(MAX_LOGGED_PARTS)
+					.map(PromptPart::toString)
+					.collect(Collectors.joining(","));
+	}
+
 	// When the request arrived, relative to the signal to stop: negative if it was under
 	// way before.
 	private static String takenInStopMs(RouterContext router, long tookMs) {
@@ -118,9 +133,9 @@
 		String kind = end.getClass().getSimpleName();
 		session.router().metrics().attempt(kind);
 		logger.atInfo()
-			.log("event=attempt id=%s print=%s end=%s reason=\"%s\" upstream=%s faulty=%s hops=%d events=%d left-ms=%d "
-					+ "retry-after-ms=%d upstream-leaving=%s", session.request().id(), print(session), kind,
-					end.reason(), attempt.target().first().id(), (faultyAddress != null) ? faultyAddress : "-",
+			.log("event=attempt id=%s print=%s parts=%s end=%s reason=\"%s\" upstream=%s faulty=%s hops=%d events=%d left-ms=%d "
+					+ "retry-after-ms=%d upstream-leaving=%s", session.request().id(), print(session), parts(session),
+					kind, end.reason(), attempt.target().first().id(), (faultyAddress != null) ? faultyAddress : "-",
 					attempt.target().path().size(), attempt.eventBatches(), session.leftMs(),
 					attempt.notice().retryAfterMs(), attempt.notice().leaving());
 	}
