Requests with a part of their prompts that crashes engines are refused by all routers

Cause: crashes were attributed to whole requests. What the requests had in common was no state of the system: each of them was seen to crash an engine or two and never came again.

Change: CrashingParts keeps, per service, model and part but the last, the crashes under requests with it, and when such a request last ran well. A part is refused once three engines had begun to answer requests with it and crashed in turn (each request was sent after the crash before), under two different requests, and none ran well since; four over 1.5 s if requests with it ran well before; or five in any state. Where other parts explain the crashes as well, only requests with two of them are refused, and none where there are many. A verdict is told in a message of its own (older builds skip the field), read from the store before callers are served, checked again before a request is written, and given up copies wait nowhere. A request that ran for half a second is recorded at once, not at its end.

Why it works: the part is in each crash and never runs well; what sound requests share runs well within a second on other engines. Upstreams that end at once are one event.

--- a/whinjunction-core/src/main/java/io/whinjunction/forward/CrashingRequests.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/forward/CrashingRequests.java
@@ -56,22 +56,6 @@
 	 */
 	static final long SAME_CRASH_MS = 1000;
 
-	/**
-	 * An upstream that sends data between {@code SURVIVED_FROM_MS} and
-	 * {@link #SURVIVED_UNTIL_MS} after it was assumed to have crashed, in milliseconds,
-	 * has not crashed: data that it sent before has been read by then, and no upstream
-	 * restarts that fast.
-	 */
-	static final long SURVIVED_FROM_MS = 300;
-
-	static final long SURVIVED_UNTIL_MS = 1500;
-
-	/**
-	 * Minimum interval between two records that an upstream is still running, in
-	 * milliseconds.
-	 */
-	private static final long SURVIVED_INTERVAL_MS = 100;
-
 	/**
 	 * A crash at which the request had not begun to run counts after this delay, in
 	 * milliseconds: an upstream that is in use and still running has sent data by then.
@@ -98,8 +82,6 @@
 
 	private static final int MAX_HARMLESS = 4096;
 
-	private static final int MAX_UPSTREAMS = 1024;
-
 	/** Bounds the size of a message to a peer. */
 	static final int MAX_HISTORIES_SENT = 48;
 
@@ -115,26 +97,9 @@
 	private final Map<Long, Suspect> suspects = new LinkedHashMap<>();
 
 	/** Times of successful runs by request fingerprint; the oldest first. */
-	private final Map<Long, Long> ranWellAtMs = bounded(MAX_HARMLESS);
+	private final Map<Long, Long> ranWellAtMs = UpstreamSurvival.bounded(MAX_HARMLESS);
 
-	/** Times at which upstreams were last assumed to have crashed, by incarnation. */
-	private final Map<String, Long> crashedAtMs = bounded(MAX_UPSTREAMS);
-
-	/**
-	 * Times at which upstreams assumed to have crashed were seen to be still running.
-	 */
-	private final Map<String, Long> survivedAtMs = bounded(MAX_UPSTREAMS);
-
-	private static <K> Map<K, Long> bounded(int maxSize) {
-		return new LinkedHashMap<>() {
-
-			@Override
-			protected boolean removeEldestEntry(Map.Entry<K, Long> eldest) {
-				return size() > maxSize;
-			}
-
-		};
-	}
+	private final UpstreamSurvival survival = new UpstreamSurvival();
 
 	/**
 	 * Checks whether a request has to be refused.
@@ -176,22 +141,13 @@
 	 * @param nowMs the current time
 	 */
 	public void answered(String upstream, long nowMs) {
-		Long crashedAt = this.crashedAtMs.get(upstream);
-		if (crashedAt == null) {
-			return;
-		}
-		if (nowMs - crashedAt >= SURVIVED_UNTIL_MS) {
-			this.crashedAtMs.remove(upstream);
-		}
-		else if (nowMs - this.survivedAtMs.getOrDefault(upstream, NEVER_MS) >= SURVIVED_INTERVAL_MS) {
-			this.survivedAtMs.put(upstream, nowMs);
+		if (this.survival.answered(upstream, nowMs)) {
 			this.suspects.values().forEach((suspect) -> suspect.crashes.removeIf(this::survived));
 		}
 	}
 
 	private boolean survived(Crash crash) {
-		long sinceMs = this.survivedAtMs.getOrDefault(crash.upstream(), NEVER_MS) - crash.atMs();
-		return sinceMs >= SURVIVED_FROM_MS && sinceMs < SURVIVED_UNTIL_MS;
+		return this.survival.survived(crash.upstream(), crash.atMs());
 	}
 
 	/**
@@ -203,7 +159,7 @@
 		this.suspects.values()
 			.forEach((suspect) -> suspect.crashes
 				.removeIf((crash) -> crash.atMs() >= sinceMs && upstreams.test(crash.upstream())));
-		this.crashedAtMs.entrySet().removeIf((crash) -> crash.getValue() >= sinceMs && upstreams.test(crash.getKey()));
+		this.survival.retract(upstreams, sinceMs);
 	}
 
 	/**
@@ -318,7 +274,7 @@
 		if (survived(crash) || (wellAtMs != null && wellAtMs >= crash.atMs() - HARMLESS_MS)) {
 			return 0;
 		}
-		this.crashedAtMs.merge(crash.upstream(), crash.atMs(), Math::max);
+		this.survival.crashed(crash.upstream(), crash.atMs());
 		Suspect suspect = this.suspects.getOrDefault(fingerprint, new Suspect());
 		if (suspect.add(crash)) {
 			changed(fingerprint, suspect, nowMs);
--- a/whinjunction-core/src/test/java/io/whinjunction/forward/CrashingRequestsTests.java
+++ b/whinjunction-core/src/test/java/io/whinjunction/forward/CrashingRequestsTests.java
@@ -67,7 +67,7 @@
 		crash(CRASHING, "e-2", 0);
 		crash(CRASHING, "e-3", 0);
 
-		this.requests.answered("e-2", START_MS + CrashingRequests.SURVIVED_FROM_MS);
+		this.requests.answered("e-2", START_MS + UpstreamSurvival.SURVIVED_FROM_MS);
 
 		assertThat(refused(CRASHING, SETTLED_MS)).isFalse();
 		this.requests.receive(new CrashHistory(CRASHING, List.of(new CrashHistory.Crash("e-2", 350, false)), -1),
@@ -111,9 +111,9 @@
 		crash(CRASHING, "e-3", 0);
 
 		this.requests.answered("e-1", START_MS + 5);
-		this.requests.answered("e-2", START_MS + CrashingRequests.SURVIVED_UNTIL_MS);
+		this.requests.answered("e-2", START_MS + UpstreamSurvival.SURVIVED_UNTIL_MS);
 
-		assertThat(refused(CRASHING, CrashingRequests.SURVIVED_UNTIL_MS)).isTrue();
+		assertThat(refused(CRASHING, UpstreamSurvival.SURVIVED_UNTIL_MS)).isTrue();
 	}
 
 	// Several copies of the request run on one upstream at once: its crash counts
--- a/whinjunction-protocol/src/main/thrift/router.thrift
+++ b/whinjunction-protocol/src/main/thrift/router.thrift
@@ -107,8 +107,34 @@
   3: required i64 ranWellAgeMs
 }
 
+/* Crash of an upstream while a request with a part of a prompt was starting there. */
+struct PartCrash {
+  /* Name and start time of the upstream. */
+  1: required string upstream
+  2: required i64 ageMs
+  /* How long ago the request was sent to the upstream. */
+  3: required i64 sentAgeMs
+  /* The upstream had begun to answer the request. */
+  4: required bool begun
+  /* Fingerprint of the request. */
+  5: required i64 fingerprint
+}
+
+/* Known crashes of upstreams under one part of prompts. */
+struct PartCrashReport {
+  1: required i64 part
+  2: required list<PartCrash> crashes
+  /* How long ago the latest request with the part began that ran well; -1: none did. */
+  3: required i64 ranWellAgeMs
+  /* How long ago the verdict of earlier routers was read from the store; -1: there is none. */
+  4: i64 restoredAgeMs = -1
+  /* Parts that explain the same crashes, as far as earlier routers knew. */
+  5: list<i64> restoredAlternatives = []
+}
+
 struct CrashReports {
   1: required list<CrashReport> reports
+  2: list<PartCrashReport> parts = []
 }
 
 /* Latest request limit announced by an upstream. */
--- a/whinjunction-router/src/main/java/io/whinjunction/router/Attempt.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/Attempt.java
@@ -21,6 +21,7 @@
 import io.whinjunction.availability.UpstreamNotice;
 import io.whinjunction.chain.Hop;
 import io.whinjunction.forward.AttemptOutcome;
+import io.whinjunction.forward.RetryObstacle;
 import io.whinjunction.routing.RequestKind;
 
 /**
@@ -101,10 +102,16 @@
 
 	private int eventBatches;
 
+	private long sentAtMs;
+
+	private long headAtMs;
+
 	private long firstAtMs;
 
 	private long progressAtMs;
 
+	private boolean ranWell;
+
 	Attempt(ForwardSession session, Target target) {
 		this.session = session;
 		this.target = target;
@@ -213,6 +220,9 @@
 		if (this.session.router().availability().backingOff(this.first)) {
 			return Optional.of("upstream-backoff");
 		}
+		if (this.session.foundToCrash()) {
+			return Optional.of(RetryObstacle.CRASHES_UPSTREAMS.logName());
+		}
 		return this.session.stillAllowed() ? Optional.empty() : Optional.of("unproved-keys");
 	}
 
@@ -229,7 +239,8 @@
 
 	private void send() {
 		this.sent = true;
-		this.progressAtMs = this.session.router().nowMs();
+		this.sentAtMs = this.session.router().nowMs();
+		this.progressAtMs = this.sentAtMs;
 		if (!this.target.path().isEmpty()) {
 			this.session.router().engineMonitor().add(this);
 			this.load.readingBegan();
@@ -348,6 +359,14 @@
 		return this.eventBatches;
 	}
 
+	/**
+	 * Returns when the head of the answer arrived.
+	 * @return the time in milliseconds
+	 */
+	long headAtMs() {
+		return this.headAtMs;
+	}
+
 	/**
 	 * Returns what the upstream states about itself in its answer.
 	 * @return the notice; {@link UpstreamNotice#NONE} before the head of the answer
@@ -490,6 +509,7 @@
 	@Override
 	public void onHead(UpstreamHead received, HttpResponse response) {
 		this.head = received;
+		this.headAtMs = this.session.router().nowMs();
 		HttpHeaders headers = HopByHopHeaders.strip(response.headers());
 		switch (this.target) {
 			case Target.Direct direct -> {
@@ -533,6 +553,10 @@
 				this.load.readingEnded();
 			}
 			this.eventBatches++;
+			if (!this.ranWell && this.progressAtMs - this.firstAtMs >= HARMLESS_AFTER_MS) {
+				this.ranWell = true;
+				this.session.ranWell(this.headAtMs);
+			}
 			if (this.target instanceof Target.Direct) {
 				this.session.router().crashGuard().answered(this.first);
 			}
@@ -666,11 +690,12 @@
 	// while.
 	private void recordPossibleCrash() {
 		if (this.eventBatches > 0 && this.session.router().nowMs() - this.firstAtMs >= HARMLESS_AFTER_MS) {
-			this.session.ranWell();
+			this.session.ranWell(this.headAtMs);
 		}
 		else {
 			boolean first = this.eventBatches == 0 && !this.session.answerBegun();
-			this.session.recordCrash(this.target.first(), this.streaming && first);
+			this.session.recordCrash(this.target.first(),
+					new CrashGuard.Start(this.sentAtMs, this.streaming, this.streaming && first));
 		}
 	}
 
--- a/whinjunction-router/src/main/java/io/whinjunction/router/CallerConnection.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/CallerConnection.java
@@ -28,7 +28,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
-import io.whinjunction.forward.RequestFingerprint;
+import io.whinjunction.forward.RequestIdentity;
 import io.whinjunction.http.server.RequestHeadValidator;
 
 /**
@@ -312,8 +312,8 @@
 	 * Fails the current request if it crashes upstreams and has no answer yet.
 	 * @param crashes matches requests that crash upstreams
 	 */
-	void giveUpIf(Predicate<RequestFingerprint> crashes) {
-		if (this.session != null && this.session.fingerprint() != null && crashes.test(this.session.fingerprint())) {
+	void giveUpIf(Predicate<RequestIdentity> crashes) {
+		if (this.session != null && this.session.identity() != null && crashes.test(this.session.identity())) {
 			this.session.onCrashesUpstreams();
 		}
 	}
--- a/whinjunction-router/src/main/java/io/whinjunction/router/CrashRecords.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/CrashRecords.java
@@ -6,20 +6,18 @@
 import java.util.concurrent.TimeUnit;
 
 import com.google.common.flogger.FluentLogger;
-import io.whinjunction.forward.CrashingRequests;
-import io.whinjunction.forward.RequestFingerprint;
 
 /**
- * Records in the platform's store which requests are refused because they crash
- * upstreams.
+ * Records in the platform's store which requests and parts of prompts are refused because
+ * they crash upstreams.
  * <p>
- * Guards against the exit of all routers at once, after which a request that crashed
- * three upstreams crashes three more before the new routers have learned of it.
+ * Guards against the exit of all routers at once, after which what crashed three
+ * upstreams crashes three more before the new routers have learned of it.
  * <p>
- * Invariant: one call at a time; the store converges to the set of refused requests,
- * whatever calls are lost, as long as a router that holds both is alive. In a fleet one
- * router writes, and additionally each router that observed the last crash itself.
- * Confined to the event loop.
+ * Invariant: one call at a time; the store converges to the set of verdicts, whatever
+ * calls are lost, as long as a router that holds both is alive. In a fleet one router
+ * writes, and additionally each router that observed the last crash itself. Confined to
+ * the event loop.
  */
 final class CrashRecords {
 
@@ -32,58 +30,73 @@
 
 	private final FleetStore store;
 
-	private final CrashingRequests requests;
+	private final Verdicts verdicts;
 
-	/** Requests that the store holds, as last known here. */
-	private final Set<RequestFingerprint> stored = new HashSet<>();
+	/** The names of the verdicts that the store holds, as last known here. */
+	private final Set<String> stored = new HashSet<>();
 
-	/**
-	 * Requests that this router itself observed to crash an upstream, or to run well
-	 * again.
-	 */
-	private final Set<RequestFingerprint> observed = new HashSet<>();
+	/** The names of verdicts that changed by what this router itself observed. */
+	private final Set<String> observed = new HashSet<>();
 
 	private boolean callInProgress;
 
+	private boolean read;
+
 	/**
 	 * Creates records of which nothing was read yet.
 	 * @param router the clock, the event loop and the peers
 	 * @param store where the records are
-	 * @param requests which requests are refused
+	 * @param verdicts the verdicts in force
 	 */
-	CrashRecords(RouterContext router, FleetStore store, CrashingRequests requests) {
+	CrashRecords(RouterContext router, FleetStore store, Verdicts verdicts) {
 		this.router = router;
 		this.store = store;
-		this.requests = requests;
+		this.verdicts = verdicts;
+	}
+
+	/**
+	 * Returns whether the verdicts of earlier routers were read.
+	 * @return whether they are in force here
+	 */
+	boolean known() {
+		return this.read;
 	}
 
-	/** Reads what earlier routers have recorded. */
-	void read() {
+	/**
+	 * Reads what earlier routers have recorded.
+	 * @param done is run once it is read
+	 */
+	void read(Runnable done) {
 		this.store.readCrashing((reply) -> {
 			if (reply instanceof StoreReply.Found<List<String>> found) {
 				found.value().forEach(this::restore);
 				logger.atInfo().log("event=crashing-requests-read count=%d", this.stored.size());
 			}
 			else if (!(reply instanceof StoreReply.Absent)) {
-				this.router.loop().schedule(this::read, READ_RETRY_MS, TimeUnit.MILLISECONDS);
+				this.router.loop().schedule(() -> read(done), READ_RETRY_MS, TimeUnit.MILLISECONDS);
+				return;
 			}
+			this.read = true;
+			done.run();
 		});
 	}
 
 	private void restore(String name) {
-		RequestFingerprint.parse(name).ifPresentOrElse((fingerprint) -> {
-			this.stored.add(fingerprint);
-			this.requests.restored(fingerprint, this.router.nowMs());
-		}, () -> logger.atWarning().log("event=crash-record-unusable name=\"%s\"", name));
+		if (this.verdicts.restore(name)) {
+			this.stored.add(name);
+		}
+		else {
+			logger.atWarning().log("event=crash-record-unusable name=\"%s\"", name);
+		}
 	}
 
 	/**
-	 * Records that this router itself observed a request crash an upstream, or run well.
-	 * @param fingerprint the request
+	 * Records that verdicts may have changed by what this router itself observed.
+	 * @param name the name of such a verdict
 	 */
-	void observed(RequestFingerprint fingerprint) {
-		if (this.requests.isRefused(fingerprint, this.router.nowMs()) != this.stored.contains(fingerprint)) {
-			this.observed.add(fingerprint);
+	void observed(String name) {
+		if (this.verdicts.inForce(name) != this.stored.contains(name)) {
+			this.observed.add(name);
 			reconcile();
 		}
 	}
@@ -96,42 +109,42 @@
 		if (this.callInProgress || this.router.reachability().doubtful()) {
 			return;
 		}
-		for (RequestFingerprint fingerprint : this.requests.refusedFingerprints(this.router.nowMs())) {
-			if (!this.stored.contains(fingerprint) && isWriter(fingerprint)) {
+		Set<String> inForce = this.verdicts.inForce();
+		for (String name : inForce) {
+			if (!this.stored.contains(name) && isWriter(name)) {
 				this.callInProgress = true;
-				this.store.recordCrashing(fingerprint.toString(), (reply) -> onReply(fingerprint, true, reply));
+				this.store.recordCrashing(name, (reply) -> onReply(name, true, reply));
 				return;
 			}
 		}
-		for (RequestFingerprint fingerprint : this.stored) {
-			if (!this.requests.isRefused(fingerprint, this.router.nowMs()) && isWriter(fingerprint)) {
+		for (String name : this.stored) {
+			if (!inForce.contains(name) && isWriter(name)) {
 				this.callInProgress = true;
-				this.store.removeCrashing(fingerprint.toString(), (reply) -> onReply(fingerprint, false, reply));
+				this.store.removeCrashing(name, (reply) -> onReply(name, false, reply));
 				return;
 			}
 		}
 	}
 
-	private boolean isWriter(RequestFingerprint fingerprint) {
-		return this.observed.contains(fingerprint)
-				|| this.router.peers().nearestTo(fingerprint.value(), this.router.nowMs());
+	private boolean isWriter(String name) {
+		return this.observed.contains(name) || this.router.peers().nearestTo(name.hashCode(), this.router.nowMs());
 	}
 
-	private void onReply(RequestFingerprint fingerprint, boolean recorded, StoreReply<Boolean> reply) {
+	private void onReply(String name, boolean recorded, StoreReply<Boolean> reply) {
 		this.callInProgress = false;
 		if (reply instanceof StoreReply.Unavailable<Boolean> unavailable) {
 			logger.atWarning()
-				.log("event=crash-record-failed print=%s record=%s reason=\"%s\"", fingerprint, recorded,
+				.log("event=crash-record-failed print=%s record=%s reason=\"%s\"", name, recorded,
 						unavailable.reason());
 			return;
 		}
-		logger.atInfo().log("event=crash-record print=%s record=%s", fingerprint, recorded);
-		this.observed.remove(fingerprint);
+		logger.atInfo().log("event=crash-record print=%s record=%s", name, recorded);
+		this.observed.remove(name);
 		if (recorded) {
-			this.stored.add(fingerprint);
+			this.stored.add(name);
 		}
 		else {
-			this.stored.remove(fingerprint);
+			this.stored.remove(name);
 		}
 	}
 
@@ -143,4 +156,29 @@
 		this.stored.clear();
 	}
 
+	/** What is refused, by name. */
+	interface Verdicts {
+
+		/**
+		 * Returns the verdicts in force.
+		 * @return their names
+		 */
+		Set<String> inForce();
+
+		/**
+		 * Returns whether a verdict is in force.
+		 * @param name its name
+		 * @return whether it is among {@link #inForce()}
+		 */
+		boolean inForce(String name);
+
+		/**
+		 * Restores a verdict of earlier routers.
+		 * @param name the name under which it was recorded
+		 * @return whether the name is valid
+		 */
+		boolean restore(String name);
+
+	}
+
 }
--- a/whinjunction-router/src/main/java/io/whinjunction/router/ForwardSession.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/ForwardSession.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
@@ -14,9 +15,9 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import io.whinjunction.chain.Hop;
 import io.whinjunction.forward.AttemptOutcome;
-import io.whinjunction.forward.CrashingRequests;
 import io.whinjunction.forward.PromptPart;
 import io.whinjunction.forward.RequestFingerprint;
+import io.whinjunction.forward.RequestIdentity;
 import io.whinjunction.forward.RetryDecision;
 import io.whinjunction.forward.RetryObstacle;
 import io.whinjunction.forward.RetryPolicy;
@@ -70,7 +71,7 @@
 	private final AttemptHistory history = new AttemptHistory();
 
 	/** {@code null} until the body is read as far as it is buffered. */
-	private RequestFingerprint fingerprint;
+	private RequestIdentity identity;
 
 	/** The parts of the prompt that other requests may share; empty until admitted. */
 	private List<PromptPart> parts = List.of();
@@ -124,6 +125,9 @@
 	 */
 	private boolean crashRetrial;
 
+	/** Whether an upstream ran the request without harm. */
+	private boolean ranWell;
+
 	private final StreamProgress progress = new StreamProgress();
 
 	/** Whether this request counts among those that are under way for peers. */
@@ -280,8 +284,9 @@
 	}
 
 	private void tryFirst() {
-		this.fingerprint = RequestFingerprint.of(Objects.requireNonNullElse(teamName(), ""), this.request.method(),
-				this.request.host(), this.request.uri(), this.body.buffered().nioBuffer());
+		RequestFingerprint fingerprint = RequestFingerprint.of(Objects.requireNonNullElse(teamName(), ""),
+				this.request.method(), this.request.host(), this.request.uri(), this.body.buffered().nioBuffer());
+		this.identity = new RequestIdentity(fingerprint, this.parts);
 		if (outlivesRouter()) {
 			giveUp(RetryObstacle.STOPPING, RetryObstacle.STOPPING.logName());
 			return;
@@ -292,10 +297,9 @@
 	// The budget is asked last: a repeat that no upstream can serve would be lost to
 	// other requests.
 	private Optional<RetryObstacle> acquire(boolean repeat) {
-		Optional<CrashingRequests.Refusal> crashing = this.router.crashGuard()
-			.refusal(this.request.id(), this.fingerprint);
+		OptionalLong crashing = this.router.crashGuard().refusal(this.request.id(), this.identity);
 		if (crashing.isPresent()) {
-			this.crashRetryAfterMs = crashing.get().retryAfterMs();
+			this.crashRetryAfterMs = crashing.getAsLong();
 			return Optional.of(RetryObstacle.CRASHES_UPSTREAMS);
 		}
 		Optional<Target> target = chooseTarget();
@@ -311,7 +315,7 @@
 	}
 
 	private void begin() {
-		this.crashRetrial = this.router.crashGuard().isRefused(this.fingerprint);
+		this.crashRetrial = this.router.crashGuard().isRefused(this.identity);
 		this.attempt = new Attempt(this, this.lastTarget);
 		this.attempt.start();
 	}
@@ -677,11 +681,22 @@
 	 * Records that the connection to an upstream ended while the request was starting
 	 * there, which may be a crash.
 	 * @param upstream the upstream
-	 * @param running whether the upstream had begun to run the request and had sent no
-	 * result
+	 * @param start how far the request had come there
 	 */
-	void recordCrash(Upstream upstream, boolean running) {
-		this.router.crashGuard().crashed(this.fingerprint, upstream, running);
+	void recordCrash(Upstream upstream, CrashGuard.Start start) {
+		// A request that ran well elsewhere does not crash upstreams as it starts.
+		RequestIdentity suspected = this.ranWell ? new RequestIdentity(this.identity.fingerprint(), List.of())
+				: this.identity;
+		this.router.crashGuard().crashed(suspected, upstream, start);
+	}
+
+	/**
+	 * Whether the request may not be sent, as it was found to crash upstreams since its
+	 * upstream was chosen.
+	 * @return {@code false} if it is sent to check whether it still does
+	 */
+	boolean foundToCrash() {
+		return !this.crashRetrial && this.router.crashGuard().isRefused(this.identity);
 	}
 
 	/** Fails the request because it crashes other upstreams. */
@@ -693,9 +708,13 @@
 		}
 	}
 
-	/** Records that the request was answered, or produced events for a while. */
-	void ranWell() {
-		this.router.crashGuard().ranWell(this.fingerprint);
+	/**
+	 * Records that the request was answered, or produced events for a while.
+	 * @param begunAtMs when the upstream began to answer it
+	 */
+	void ranWell(long begunAtMs) {
+		this.ranWell = true;
+		this.router.crashGuard().ranWell(this.identity, begunAtMs);
 	}
 
 	/**
@@ -703,8 +722,8 @@
 	 * @param answer the answer
 	 */
 	void onAnswer(Answer answer) {
+		ranWell(this.attempt.headAtMs());
 		this.attempt = null;
-		ranWell();
 		if (answer.status().codeClass() == HttpStatusClass.SUCCESS) {
 			recordAnswered();
 		}
@@ -734,7 +753,7 @@
 	 * @param answer the answer
 	 */
 	void onFailedAnswer(Answer answer) {
-		ranWell();
+		ranWell(this.attempt.headAtMs());
 		this.failedAnswer = answer;
 		onAttemptOutcome(new AttemptOutcome.Failed("status-" + answer.status().code()), null);
 	}
@@ -776,8 +795,8 @@
 	 * @param head its head, for an answer without any chunk
 	 */
 	void onStreamEnd(Answer head) {
+		ranWell(this.attempt.headAtMs());
 		this.attempt = null;
-		ranWell();
 		recordAnswered();
 		if (!this.answerBegun) {
 			finish("answered", "empty", head);
@@ -864,11 +883,11 @@
 	}
 
 	/**
-	 * Returns what the request has in common with its repeats.
-	 * @return the fingerprint; {@code null} before the first attempt
+	 * Returns what the request has in common with others.
+	 * @return the identity; {@code null} before the first attempt
 	 */
-	RequestFingerprint fingerprint() {
-		return this.fingerprint;
+	RequestIdentity identity() {
+		return this.identity;
 	}
 
 	/**
--- a/whinjunction-router/src/main/java/io/whinjunction/router/PeerCodec.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/PeerCodec.java
@@ -6,11 +6,15 @@
 
 import io.whinjunction.configuration.LayerRange;
 import io.whinjunction.forward.CrashHistory;
+import io.whinjunction.forward.PartHistory;
+import io.whinjunction.forward.PromptPart;
 import io.whinjunction.forward.RequestFingerprint;
 import io.whinjunction.protocol.generated.ChangesAnswer;
 import io.whinjunction.protocol.generated.CrashReport;
 import io.whinjunction.protocol.generated.CrashReports;
 import io.whinjunction.protocol.generated.ListedUpstream;
+import io.whinjunction.protocol.generated.PartCrash;
+import io.whinjunction.protocol.generated.PartCrashReport;
 import io.whinjunction.protocol.generated.RetryAnswer;
 import io.whinjunction.protocol.generated.RetryQuestion;
 import io.whinjunction.protocol.generated.RouterMessage;
@@ -51,8 +55,7 @@
 			case PeerMessage.ChangesAnswer answer -> RouterMessage.changesAnswer(encoded(answer.changes()));
 			case PeerMessage.Limits limits ->
 				RouterMessage.limits(new UpstreamLimitWords(limits.limits().stream().map(PeerCodec::encoded).toList()));
-			case PeerMessage.CrashReports reports -> RouterMessage
-				.crashReports(new CrashReports(reports.histories().stream().map(PeerCodec::encoded).toList()));
+			case PeerMessage.CrashReports reports -> RouterMessage.crashReports(encoded(reports));
 			case PeerMessage.RetryQuestion question -> RouterMessage
 				.retryQuestion(new RetryQuestion(question.number(), question.service(), question.routers()));
 			case PeerMessage.RetryAnswer answer ->
@@ -91,6 +94,21 @@
 		return new UpstreamLimitWord(limit.upstream(), limit.perSecond(), limit.ageMs());
 	}
 
+	private static CrashReports encoded(PeerMessage.CrashReports reports) {
+		return new CrashReports(reports.histories().stream().map(PeerCodec::encoded).toList(),
+				reports.partHistories().stream().map(PeerCodec::encoded).toList());
+	}
+
+	private static PartCrashReport encoded(PartHistory history) {
+		List<PartCrash> crashes = history.crashes()
+			.stream()
+			.map((crash) -> new PartCrash(crash.upstream(), crash.ageMs(), crash.sentAgeMs(), crash.begun(),
+					crash.request().value()))
+			.toList();
+		return new PartCrashReport(history.part().value(), crashes, history.ranWellAgeMs(), history.restored().ageMs(),
+				history.restored().alternatives().stream().map(PromptPart::value).toList());
+	}
+
 	private static CrashReport encoded(CrashHistory history) {
 		List<UpstreamCrash> crashes = history.crashes()
 			.stream()
@@ -157,7 +175,19 @@
 	}
 
 	private static PeerMessage decoded(CrashReports reports) {
-		return new PeerMessage.CrashReports(reports.getReports().stream().map(PeerCodec::decoded).toList());
+		return new PeerMessage.CrashReports(reports.getReports().stream().map(PeerCodec::decoded).toList(),
+				reports.getParts().stream().map(PeerCodec::decoded).toList());
+	}
+
+	private static PartHistory decoded(PartCrashReport report) {
+		List<PartHistory.Crash> crashes = report.getCrashes()
+			.stream()
+			.map((crash) -> new PartHistory.Crash(crash.getUpstream(), crash.getAgeMs(), crash.getSentAgeMs(),
+					crash.isBegun(), new RequestFingerprint(crash.getFingerprint())))
+			.toList();
+		List<PromptPart> alternatives = report.getRestoredAlternatives().stream().map(PromptPart::new).toList();
+		return new PartHistory(new PromptPart(report.getPart()), crashes, report.getRanWellAgeMs(),
+				new PartHistory.Restored(report.getRestoredAgeMs(), alternatives));
 	}
 
 	private static CrashHistory decoded(CrashReport report) {
--- a/whinjunction-router/src/main/java/io/whinjunction/router/PeerMessage.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/PeerMessage.java
@@ -3,6 +3,7 @@
 import java.util.List;
 
 import io.whinjunction.forward.CrashHistory;
+import io.whinjunction.forward.PartHistory;
 import io.whinjunction.store.StoreVersion;
 
 /**
@@ -63,14 +64,16 @@
 	}
 
 	/**
-	 * Reports the requests during which upstreams crashed.
+	 * Reports the requests and the parts of prompts under which upstreams crashed.
 	 *
 	 * @param histories the sender's crash history of each request
+	 * @param partHistories the sender's crash history of each part
 	 */
-	record CrashReports(List<CrashHistory> histories) implements PeerMessage {
+	record CrashReports(List<CrashHistory> histories, List<PartHistory> partHistories) implements PeerMessage {
 
 		public CrashReports {
 			histories = List.copyOf(histories);
+			partHistories = List.copyOf(partHistories);
 		}
 
 	}
--- a/whinjunction-router/src/main/java/io/whinjunction/router/PeerMessageHandler.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/PeerMessageHandler.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.List;
 
-import io.whinjunction.forward.CrashHistory;
 import io.whinjunction.store.StoreVersion;
 
 /**
@@ -77,6 +76,7 @@
 		this.router.reachability().peerReach(status.reach());
 		if (status.answer()) {
 			this.router.engineMonitor().peerAnswered();
+			this.router.crashGuard().peerAnswered();
 		}
 		status.suspects().forEach(this.router.engineMonitor()::suspectReported);
 		status.reach().workingEngines().forEach(this.router.engineMonitor()::workingReportReceived);
@@ -98,10 +98,7 @@
 	@Override
 	public List<PeerMessage> pendingReports() {
 		List<PeerMessage> reports = new ArrayList<>();
-		List<CrashHistory> crashes = this.router.crashGuard().reported();
-		if (!crashes.isEmpty()) {
-			reports.add(new PeerMessage.CrashReports(crashes));
-		}
+		reports.addAll(this.router.crashGuard().reports());
 		List<ReportedLimit> limits = this.router.limits().limitsToReport();
 		if (!limits.isEmpty()) {
 			reports.add(new PeerMessage.Limits(limits));
@@ -111,7 +108,7 @@
 
 	@Override
 	public void onCrashReports(PeerMessage.CrashReports reports) {
-		this.router.crashGuard().received(reports.histories());
+		this.router.crashGuard().received(reports);
 	}
 
 	@Override
--- a/whinjunction-router/src/main/java/io/whinjunction/router/RequestLog.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/RequestLog.java
@@ -76,7 +76,7 @@
 	}
 
 	private static String print(ForwardSession session) {
-		return (session.fingerprint() != null) ? session.fingerprint().toString() : "-";
+		return (session.identity() != null) ? session.identity().fingerprint().toString() : "-";
 	}
 
 	private static String parts(ForwardSession session) {
--- a/whinjunction-router/src/main/java/io/whinjunction/router/Router.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/Router.java
@@ -173,7 +173,7 @@
 		this.directory = new UpstreamDirectory((upstream) -> this.pool.drop(upstream.incarnation()));
 		this.engineMonitor = new EngineMonitor(this, ports.engines(), this::engineStateChanged,
 				() -> leadership().holds(), new ReceptionCheck(this, () -> peerLink().queryActive()));
-		this.crashGuard = new CrashGuard(this, ports.store(), () -> peerLink().sendStatusNow());
+		this.crashGuard = new CrashGuard(this, ports.store(), new CrashListener());
 		this.store = ports.store();
 		this.engines = ports.engines();
 		this.engines.onAnswer((engine, status, notice) -> {
@@ -215,7 +215,7 @@
 		listen(this.settings.peers(), (channel) -> initialize(channel,
 				new PeerRequestSelector(documents, () -> new CallerConnection(this, true))));
 		announce();
-		this.crashGuard.records().read();
+		this.crashGuard.start();
 		this.loop.schedule(this.callersPort::close, CallersPort.MAX_WAIT_MS, TimeUnit.MILLISECONDS);
 		this.loop.scheduleAtFixedRate(this::sweep, SWEEP_INTERVAL_MS, SWEEP_INTERVAL_MS, TimeUnit.MILLISECONDS);
 		ReadyHandler ready = new ReadyHandler(this.dialect.readyPath(), this::ready, this.metrics);
@@ -266,7 +266,7 @@
 
 	private boolean initialized() {
 		return configuration() != null && this.configurationSynchronizer.confirmed()
-				&& this.directorySynchronizer.listed();
+				&& this.directorySynchronizer.listed() && this.crashGuard.informed();
 	}
 
 	private void stopListening() {
@@ -294,7 +294,7 @@
 		this.leadership.storeRestored();
 		this.configurationSynchronizer.storeRestored();
 		this.directorySynchronizer.storeRestored();
-		this.crashGuard.records().storeRestored();
+		this.crashGuard.storeRestored();
 		long jitterMs = ANNOUNCE_JITTER_MS_PER_ROUTER * this.peers.routerCount(nowMs());
 		this.loop.schedule(this::announce, this.random.nextLong(jitterMs), TimeUnit.MILLISECONDS);
 	}
@@ -411,7 +411,8 @@
 		this.metrics.state("waiting_streams", this.callers.stream().filter(CallerConnection::waitsToResume).count());
 		this.metrics.state("cut_off_services", this.reachability.counts().getOrDefault(Reachability.CUT_OFF, 0));
 		this.metrics.state("relayed_for_peers", this.relays.forPeers());
-		this.metrics.state("crashing_requests", this.crashGuard.refused());
+		this.metrics.state("crashing_requests", this.crashGuard.refusedRequests());
+		this.metrics.state("crashing_parts", this.crashGuard.refusedParts());
 		this.metrics.state("leading", this.leadership.holds() ? 1 : 0);
 	}
 
@@ -588,6 +589,21 @@
 
 	}
 
+	/** Reacts to what is known of requests that crash upstreams. */
+	private final class CrashListener implements CrashGuard.Listener {
+
+		@Override
+		public void notifyPeers() {
+			Router.this.peerLink.sendStatusNow();
+		}
+
+		@Override
+		public void informed() {
+			listenWhenInitialized();
+		}
+
+	}
+
 	/** Reacts to changes of the list of upstreams. */
 	private final class DirectoryListener implements DirectorySynchronizer.Listener {
 
--- a/whinjunction-router/src/test/java/io/whinjunction/router/PeerTableTests.java
+++ b/whinjunction-router/src/test/java/io/whinjunction/router/PeerTableTests.java
@@ -7,6 +7,8 @@
 
 import io.whinjunction.configuration.LayerRange;
 import io.whinjunction.forward.CrashHistory;
+import io.whinjunction.forward.PartHistory;
+import io.whinjunction.forward.PromptPart;
 import io.whinjunction.forward.RequestFingerprint;
 import org.junit.jupiter.api.Test;
 
@@ -78,9 +80,14 @@
 
 	@Test
 	void crashReportsSurviveEncoding() {
-		PeerMessage.CrashReports reports = new PeerMessage.CrashReports(List.of(
-				new CrashHistory(new RequestFingerprint(-7), List.of(new CrashHistory.Crash("e-1@5", 12, true)), -1),
-				new CrashHistory(new RequestFingerprint(9), List.of(), 40)));
+		PeerMessage.CrashReports reports = new PeerMessage.CrashReports(
+				List.of(new CrashHistory(new RequestFingerprint(-7), List.of(new CrashHistory.Crash("e-1@5", 12, true)),
+						-1), new CrashHistory(new RequestFingerprint(9), List.of(), 40)),
+				List.of(new PartHistory(new PromptPart(3),
+						List.of(new PartHistory.Crash("e-1@5", 12, 90, true, new RequestFingerprint(-7))), -1,
+						PartHistory.Restored.NONE),
+						new PartHistory(new PromptPart(-4), List.of(), 40,
+								new PartHistory.Restored(7, List.of(new PromptPart(3))))));
 		PeerCodec codec = new PeerCodec();
 
 		assertThat(codec.decode(codec.encode(reports))).contains(reports);
