A request is relayed only to a peer that got an answer since upstreams can't be connected to

Cause: a router that has no path and can't connect to some upstream took any peer that reaches the service for one that has a path, though an engine that has ended is one that nobody can connect to, and most paths begin at few engines.

Change: a status names the services whose upstreams answered requests of the sender with success, with the age of the last answer. A router that is not cut off relays only to a peer with an answer later than its own loss, and not older than a second. An older build names none and gets no such relays; a router that is cut off relays as before.

Why it works: where the engine works, requests of peers are answered all the time; where it has ended, no answer comes.

RelayedRequestTests.requestsThatNoRouterCanSendAreNotRelayed failed before (119 relays of 60 requests) and passes; counting chosen paths instead of answers left 7, since a peer may choose an engine whose end it has not noticed. RelayedRequestTests and PartitionedRouterTests pass, partial cuts among them.

--- a/whinjunction-core/src/main/java/io/whinjunction/reachability/ServiceReachability.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/reachability/ServiceReachability.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Predicate;
 
@@ -163,6 +164,15 @@
 		return Set.copyOf(this.unconnectedSinceMs.keySet());
 	}
 
+	/**
+	 * Returns when the last upstream became one to which no connection can be made.
+	 * @return when the first failed attempt to connect to it began; empty if the last
+	 * attempt to connect to each upstream succeeded
+	 */
+	public OptionalLong unconnectedSinceMs() {
+		return this.unconnectedSinceMs.values().stream().mapToLong(Long::longValue).max();
+	}
+
 	/**
 	 * Returns the upstreams that are evidence of a lost path: those that are not reached
 	 * since others were last reached.
--- a/whinjunction-protocol/src/main/thrift/router.thrift
+++ b/whinjunction-protocol/src/main/thrift/router.thrift
@@ -52,6 +52,8 @@
   24: i64 leaseReleaseAgeMs = -1
   /* Engines that other routers reported as silent and that work as far as the sender sees, by name and start time. */
   25: list<string> workingEngines = []
+  /* Services whose upstreams answered requests of the sender with success, with the age of the last such answer. */
+  26: map<string, i64> answerAgesMs = {}
 }
 
 /* Requests the changes of the list of upstreams. */
--- a/whinjunction-router/src/main/java/io/whinjunction/router/Attempt.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/Attempt.java
@@ -515,6 +515,9 @@
 			case Target.Direct direct -> {
 				this.session.router().limits().received(this.first, received);
 				this.session.router().crashGuard().answered(this.first);
+				if (received.success()) {
+					this.session.router().relays().answered(this.session.service().name());
+				}
 			}
 			case Target.Relay relay -> {
 				this.relayOutcome = RelayHeaders.outcome(headers);
--- a/whinjunction-router/src/main/java/io/whinjunction/router/ForwardSession.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/ForwardSession.java
@@ -352,8 +352,12 @@
 		Reachability reachability = this.router.reachability().of(this.service.name());
 		if (reachability == Reachability.REACHED) {
 			Optional<Target> direct = chooseUpstream();
-			boolean mayHelp = direct.isEmpty() && this.router.reachability().anyUnconnected(this.service.name());
-			return mayHelp ? chooseRelay() : direct;
+			OptionalLong unconnectedSinceMs = this.router.reachability().unconnectedSinceMs(this.service.name());
+			if (direct.isPresent() || unconnectedSinceMs.isEmpty() || this.relayedFor != null) {
+				return direct;
+			}
+			return this.router.relays()
+				.chooseAnswered(this.service.name(), this.history.failedAt(), unconnectedSinceMs.getAsLong());
 		}
 		Optional<Target> relay = chooseRelay();
 		return (relay.isPresent() || reachability == Reachability.CUT_OFF) ? relay : chooseUpstream();
--- a/whinjunction-router/src/main/java/io/whinjunction/router/PeerReach.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/PeerReach.java
@@ -14,18 +14,22 @@
  * to acquire it, in milliseconds; -1 where it did not, or long ago
  * @param workingEngines incarnations of engines that others reported as silent, and that
  * work as far as the router sees
+ * @param answerAgesMs the services whose upstreams answered its requests with success,
+ * with the age of the last such answer, in milliseconds
  */
-record PeerReach(Map<String, Long> contactAgesMs, boolean relays, long leaseReleaseAgeMs, List<String> workingEngines) {
+record PeerReach(Map<String, Long> contactAgesMs, boolean relays, long leaseReleaseAgeMs, List<String> workingEngines,
+		Map<String, Long> answerAgesMs) {
 
 	/** In place of an age: no upstream of the service is reached now. */
 	static final long NOT_REACHED = -1;
 
 	/** The reach of a router that reports none. */
-	static final PeerReach NONE = new PeerReach(Map.of(), false, -1, List.of());
+	static final PeerReach NONE = new PeerReach(Map.of(), false, -1, List.of(), Map.of());
 
 	PeerReach {
 		contactAgesMs = Map.copyOf(contactAgesMs);
 		workingEngines = List.copyOf(workingEngines);
+		answerAgesMs = Map.copyOf(answerAgesMs);
 	}
 
 	/**
--- a/whinjunction-router/src/main/java/io/whinjunction/router/PeerRelays.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/PeerRelays.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 
 import com.google.common.flogger.FluentLogger;
 import io.netty.util.concurrent.ScheduledFuture;
@@ -41,6 +42,15 @@
 	/** How long a peer is avoided that could not be reached, in milliseconds. */
 	private static final long AVOID_MS = 500;
 
+	/** How long an answer to a peer is taken into account, in milliseconds. */
+	private static final long ANSWER_MS = 1000;
+
+	/**
+	 * An answer to a peer counts if it is later than the loss of an upstream by this, in
+	 * milliseconds: its age is known only up to the delay of the status.
+	 */
+	private static final long ANSWER_MARGIN_MS = 100;
+
 	/** The interval between checks of quiet requests, in milliseconds. */
 	private static final long CHECK_INTERVAL_MS = 100;
 
@@ -67,6 +77,9 @@
 
 	private final Map<String, Long> avoidedUntilMs = new HashMap<>();
 
+	/** When an upstream last answered a request with success, by service. */
+	private final Map<String, Long> answeredAtMs = new HashMap<>();
+
 	private int forPeers;
 
 	/**
@@ -89,12 +102,37 @@
 	 * @return the peer, or empty if none is known to reach the service
 	 */
 	Optional<Target> choose(String service, Set<String> excluded) {
+		return choose(service, excluded, (status) -> true);
+	}
+
+	/**
+	 * Chooses a peer although this router is not cut off from the service: one to which
+	 * an upstream gave an answer since this router lost its connections to some of them.
+	 * Where these have ended, there is none.
+	 * @param service the service of the request
+	 * @param excluded the incarnations of peers that did not take the request
+	 * @param unconnectedSinceMs since when this router can't connect to an upstream
+	 * @return the peer, or empty if none is known to have a path
+	 */
+	Optional<Target> chooseAnswered(String service, Set<String> excluded, long unconnectedSinceMs) {
+		long nowMs = this.router.nowMs();
+		return choose(service, excluded, (status) -> {
+			Long ageMs = status.reach().answerAgesMs().get(service);
+			if (ageMs == null) {
+				return false;
+			}
+			long lastAtMs = this.router.peers().statusReceivedAtMs(status.address()) - ageMs;
+			return lastAtMs >= unconnectedSinceMs + ANSWER_MARGIN_MS && nowMs - lastAtMs < ANSWER_MS;
+		});
+	}
+
+	private Optional<Target> choose(String service, Set<String> excluded, Predicate<PeerStatus> mayHelp) {
 		long nowMs = this.router.nowMs();
 		RoutingConfiguration configuration = this.router.configuration();
 		List<Upstream> usable = new ArrayList<>();
 		List<Upstream> older = new ArrayList<>();
 		for (PeerStatus status : this.router.peers().activeStatuses(nowMs)) {
-			if (!status.serves() || !status.reach().relaysTo(service)) {
+			if (!status.serves() || !status.reach().relaysTo(service) || !mayHelp.test(status)) {
 				continue;
 			}
 			Upstream peer = Upstream.router(status.name(), status.address(), status.failureDomain());
@@ -115,6 +153,26 @@
 		return Optional.of(new Target.Relay((underWay(other) < underWay(one)) ? other : one));
 	}
 
+	/**
+	 * Records that an upstream answers a request with success.
+	 * @param service the service of the request
+	 */
+	void answered(String service) {
+		this.answeredAtMs.put(service, this.router.nowMs());
+	}
+
+	/**
+	 * Returns the services whose upstreams answered requests with success lately.
+	 * @return the age of the last such answer, in milliseconds, by service
+	 */
+	Map<String, Long> answerAgesMs() {
+		long nowMs = this.router.nowMs();
+		Map<String, Long> ages = new HashMap<>();
+		this.answeredAtMs.forEach((service, atMs) -> ages.put(service, nowMs - atMs));
+		ages.values().removeIf((ageMs) -> ageMs >= ANSWER_MS);
+		return ages;
+	}
+
 	/**
 	 * Describes a request of this router for a relay.
 	 * @param waitedMs how long its caller has waited, in milliseconds
--- a/whinjunction-router/src/main/java/io/whinjunction/router/ReachabilityMonitor.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/ReachabilityMonitor.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
@@ -223,13 +224,14 @@
 	}
 
 	/**
-	 * Returns whether there is an upstream of a service to which this router can't
-	 * connect.
+	 * Returns since when this router can't connect to any of the upstreams of a service
+	 * to which it can't connect now.
 	 * @param service the service
-	 * @return whether the last attempt to connect to one failed
+	 * @return when the latest failed attempt to connect to another one began; empty if
+	 * all can be connected to
 	 */
-	boolean anyUnconnected(String service) {
-		return this.troubled && !service(service).unconnected().isEmpty();
+	OptionalLong unconnectedSinceMs(String service) {
+		return this.troubled ? service(service).unconnectedSinceMs() : OptionalLong.empty();
 	}
 
 	/**
