A stream with neither a length nor chunks that ends before its first event is broken off

What callers saw: an engine that crashed after the head of such an answer gave them a complete answer without any event; the crash was recorded as a good run of the request and of the parts of its prompt.

Cause: the end of the connection is the end of such an answer, whatever ended it.

Change: the connection tells that its end alone ended the answer. A stream without events, or with half of one, is then broken off, which is resumed and counts as a possible crash.

Why it works: a stream brings at least one event. An end between two events still can't be told from the end of the stream.

--- a/whinjunction-router/src/main/java/io/whinjunction/router/Attempt.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/Attempt.java
@@ -575,7 +575,7 @@
 	}
 
 	@Override
-	public void onEnd() {
+	public void onEnd(boolean byConnection) {
 		if (this.ended) {
 			return;
 		}
@@ -583,7 +583,7 @@
 			endUnanswered();
 		}
 		else if (this.streaming) {
-			endStream();
+			endStream(byConnection);
 		}
 		else if (this.head.notRun()) {
 			end(new AttemptOutcome.NotRun("status-" + this.head.status()), this.head.faultyAddress());
@@ -624,15 +624,25 @@
 		}
 	}
 
-	private void endStream() {
+	private void endStream(boolean byConnection) {
 		if (this.session.events().partial()) {
-			onBroken("the stream ended within an event", false);
+			onBroken("the stream ended within an event", byConnection);
+			return;
+		}
+		// An upstream that crashes after the head of such an answer ends it like this.
+		if (byConnection && this.eventBatches == 0 && mayHaveBody()) {
+			onBroken("the connection ended before the first event", true);
 			return;
 		}
 		settle();
 		this.session.onStreamEnd(this.answer);
 	}
 
+	private boolean mayHaveBody() {
+		return this.head.status() != HttpResponseStatus.NO_CONTENT.code()
+				&& !HttpMethod.HEAD.name().equals(this.session.request().method());
+	}
+
 	private void endLargeOrResumed() {
 		if (this.head.success()) {
 			settle();
--- a/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamConnection.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamConnection.java
@@ -50,6 +50,8 @@
 
 	private boolean headRead;
 
+	private boolean framed;
+
 	private boolean keepAlive;
 
 	private boolean failed;
@@ -173,8 +175,8 @@
 		}
 		this.skipping = false;
 		this.headRead = true;
-		this.keepAlive = HttpUtil.isKeepAlive(response)
-				&& (HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response));
+		this.framed = HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response);
+		this.keepAlive = HttpUtil.isKeepAlive(response) && this.framed;
 		this.keepAliveMs = head.keepAliveMs();
 		this.listener.onHead(head, response);
 	}
@@ -205,7 +207,7 @@
 			this.channel.close();
 		}
 		if (ended != null) {
-			ended.onEnd();
+			ended.onEnd(!this.framed);
 		}
 	}
 
--- a/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamListener.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamListener.java
@@ -5,7 +5,7 @@
 
 /**
  * Receives the response to one request on an upstream's connection. All calls are on the
- * event loop; there are none after {@link #onEnd()} or {@link #onBroken}.
+ * event loop; there are none after {@link #onEnd} or {@link #onBroken}.
  */
 interface UpstreamListener {
 
@@ -25,8 +25,11 @@
 	/** Called when all bytes that were available were handed over. */
 	void onReadComplete();
 
-	/** Called when the response is complete. */
-	void onEnd();
+	/**
+	 * Called when the response is complete.
+	 * @param byConnection whether its end was told by that of the connection alone
+	 */
+	void onEnd(boolean byConnection);
 
 	/**
 	 * Called when the response will not be completed.
