Callers of HTTP/1.0 get streams without chunks, and a reset where one is broken off

What callers saw: sizes of chunks amid the events; for them the end of the connection is the end of the answer, so that a broken stream looked complete.

Change: for a caller of HTTP/1.0 the answer is written as it comes and ends with the connection; where it is broken off the connection is reset.

UnframedAnswerTests.aCallerOfHttp10GetsAStreamWithoutChunks and ...SeesThatAStreamIsBrokenOff failed before and pass.

--- a/whinjunction-router/src/main/java/io/whinjunction/router/CallerConnection.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/CallerConnection.java
@@ -12,6 +12,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -68,6 +69,9 @@
 
 	private boolean headRequest;
 
+	/** Whether the caller knows chunks, which HTTP/1.0 does not have. */
+	private boolean knowsChunks = true;
+
 	private boolean closing;
 
 	private long lastActivityMs;
@@ -129,6 +133,7 @@
 		this.bodyOpen = true;
 		this.headRequest = HttpMethod.HEAD.equals(head.method());
 		this.keepAlive = HttpUtil.isKeepAlive(head);
+		this.knowsChunks = !HttpVersion.HTTP_1_0.equals(head.protocolVersion());
 		Optional<String> problem = RequestHeadValidator.problem(head);
 		if (problem.isPresent()) {
 			refuseHead(head, problem.get());
@@ -225,7 +230,7 @@
 	}
 
 	/**
-	 * Writes the head of an answer whose body follows in chunks.
+	 * Writes the head of an answer whose body follows in pieces.
 	 * @param status the status
 	 * @param headers the headers without framing
 	 */
@@ -233,7 +238,12 @@
 		HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, status);
 		response.headers().set(headers);
 		response.headers().remove(HttpHeaderNames.CONTENT_LENGTH);
-		response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+		if (this.knowsChunks) {
+			response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+		}
+		else {
+			this.keepAlive = false;
+		}
 		setConnectionHeader(response.headers());
 		this.channel.write(response);
 	}
@@ -250,7 +260,7 @@
 		this.channel.flush();
 	}
 
-	/** Completes an answer that is sent in chunks. */
+	/** Completes an answer that is sent in pieces. */
 	void endAnswer() {
 		finish(LastHttpContent.EMPTY_LAST_CONTENT, null);
 	}
@@ -260,6 +270,10 @@
 		this.session = null;
 		this.answered = true;
 		this.closing = true;
+		if (!this.knowsChunks) {
+			// The orderly end of the connection would complete the answer.
+			this.channel.config().setOption(ChannelOption.SO_LINGER, 0);
+		}
 		// Closes only after all that was written is sent, so that the caller gets all of
 		// it.
 		this.channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
