A read of the configuration that is answered late is used, and another one starts meanwhile

What callers saw: all requests with keys refused by all routers while the store takes more than a second for an answer, though a proof of keys is good for five.

Cause: the time limit that guards against lost replies also decided whether a reply counts.

Change: after a second without an answer another read starts while the first goes on. Each reply proves the configuration as of the start of its read; one that is older than one that came is dropped; at most four reads are under way. A late answer is logged as slow, apart from a store that is away.

Why it works: a lost reply costs a second as before, and a slow one is used.

--- a/whinjunction-router/src/main/java/io/whinjunction/router/ConfigurationSynchronizer.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/ConfigurationSynchronizer.java
@@ -62,6 +62,9 @@
 	/** Delay before a failed read is retried, in milliseconds: four calls per second. */
 	private static final long RETRY_MS = 250;
 
+	/** Minimum interval between two log lines about slow replies, in seconds. */
+	private static final int SLOW_LOG_INTERVAL_S = 5;
+
 	private static final long NEVER_MS = Long.MIN_VALUE / 2;
 
 	private final EventLoop loop;
@@ -82,14 +85,14 @@
 
 	private final RandomGenerator random;
 
+	private final OverlappingReads<ConfigurationDocument> reads;
+
 	private ConfigurationDocument document;
 
 	private boolean storeReachable = true;
 
 	private ScheduledFuture<?> next;
 
-	private boolean reading;
-
 	private boolean fetching;
 
 	/** Whether the last read returned an older version than a peer has in force. */
@@ -125,6 +128,7 @@
 		this.store = store;
 		this.proof = proof;
 		this.boot = boot;
+		this.reads = new OverlappingReads<>(loop, boot, store::readConfiguration, new ReadListener());
 	}
 
 	RoutingConfiguration configuration() {
@@ -157,7 +161,7 @@
 		if (version == own && version >= 0) {
 			proved(provedAtMs);
 		}
-		else if (version > own && this.storeReachable && !this.storeOutdated && !this.reading) {
+		else if (version > own && this.storeReachable && !this.storeOutdated && !this.reads.awaited()) {
 			read();
 		}
 		else if (version > own && (!this.storeReachable || this.storeOutdated) && !this.fetching) {
@@ -253,26 +257,12 @@
 	}
 
 	private void read() {
-		if (this.stopped || this.reading) {
-			return;
+		if (!this.stopped) {
+			this.reads.start();
 		}
-		this.reading = true;
-		long requestedAtMs = this.boot.nowMs();
-		this.store.readConfiguration((reply) -> configurationRead(reply, requestedAtMs));
 	}
 
-	private void configurationRead(StoreReply<ConfigurationDocument> reply, long requestedAtMs) {
-		this.reading = false;
-		long pauseMs = RETRY_MS;
-		if (reply instanceof StoreReply.Found<ConfigurationDocument> found) {
-			updateReachability(true, "read");
-			this.storeOutdated = this.freshness.outdated(found.value().configuration().version(), this.boot.nowMs());
-			accept(found.value(), requestedAtMs);
-			pauseMs = periodMs() + jitterMs();
-		}
-		else {
-			updateReachability(false, reply.toString());
-		}
+	private void readIn(long pauseMs) {
 		if (this.next != null) {
 			this.next.cancel(false);
 		}
@@ -326,4 +316,38 @@
 		}
 	}
 
+	/** Processes the replies of the store. */
+	private final class ReadListener implements OverlappingReads.Listener<ConfigurationDocument> {
+
+		@Override
+		public void answered(ConfigurationDocument read, long requestedAtMs) {
+			long tookMs = ConfigurationSynchronizer.this.boot.nowMs() - requestedAtMs;
+			if (tookMs < OverlappingReads.LATE_MS) {
+				updateReachability(true, "read");
+			}
+			else {
+				logger.atWarning()
+					.atMostEvery(SLOW_LOG_INTERVAL_S, TimeUnit.SECONDS)
+					.log("event=slow dependency=store call=configuration took-ms=%d", tookMs);
+			}
+			ConfigurationSynchronizer.this.storeOutdated = ConfigurationSynchronizer.this.freshness
+				.outdated(read.configuration().version(), ConfigurationSynchronizer.this.boot.nowMs());
+			accept(read, requestedAtMs);
+			readIn(periodMs() + jitterMs());
+		}
+
+		// Peers may have a later configuration meanwhile.
+		@Override
+		public void late() {
+			updateReachability(false, "no answer in " + OverlappingReads.LATE_MS + " ms");
+		}
+
+		@Override
+		public void failed(StoreReply<ConfigurationDocument> reply) {
+			updateReachability(false, reply.toString());
+			readIn(RETRY_MS);
+		}
+
+	}
+
 }
