A starting router waits two seconds at most for the verdicts of earlier routers

A store that answers none of these reads, while it serves the configuration and the list, would have kept a router without peers from ever taking callers.

--- a/whinjunction-router/src/main/java/io/whinjunction/router/CrashGuard.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/CrashGuard.java
@@ -46,6 +46,12 @@
 	 */
 	private static final long REPORTS_MS = 20;
 
+	/**
+	 * How long a starting router waits for the verdicts that are in force, in
+	 * milliseconds.
+	 */
+	private static final long MAX_WAIT_MS = 2000;
+
 	private final RouterContext router;
 
 	private final Listener listener;
@@ -67,6 +73,8 @@
 
 	private boolean peerReported;
 
+	private boolean waitedInVain;
+
 	/**
 	 * Creates a guard without observations.
 	 * @param router the clock, the event loop and the peers
@@ -85,15 +93,25 @@
 			verdictsChanged();
 			this.listener.informed();
 		});
+		this.router.loop().schedule(this::endWait, MAX_WAIT_MS, TimeUnit.MILLISECONDS);
+	}
+
+	private void endWait() {
+		if (!informed()) {
+			logger.atWarning().log("event=crash-verdicts-unknown waited-ms=%d", MAX_WAIT_MS);
+			this.waitedInVain = true;
+			this.listener.informed();
+		}
 	}
 
 	/**
 	 * Returns whether this router knows the verdicts that are in force elsewhere, or that
 	 * earlier routers recorded.
-	 * @return {@code false} until the store or a peer has told them
+	 * @return {@code false} until the store or a peer has told them, or the time to wait
+	 * for that is over
 	 */
 	boolean informed() {
-		return this.peerReported || this.records.known();
+		return this.peerReported || this.records.known() || this.waitedInVain;
 	}
 
 	/** Handles that a peer answered a status query; its reports follow. */
