A router whose share of upstreams' limits is used up has peers send requests that have some left

Cause: a limit is divided by the number of routers, whichever of them gets the requests.

Change: a status names the services of whose upstreams' limits the sender has some share left. A router without any left hands requests to such a peer, one hop, judged by both; a peer that refuses is left until its next status.

Why it works: the sum of the shares stays the limit, and the shares of routers without requests are used. Where all shares are used up no peer says otherwise, and the request is refused at once.

--- a/whinjunction-protocol/src/main/thrift/router.thrift
+++ b/whinjunction-protocol/src/main/thrift/router.thrift
@@ -54,6 +54,8 @@
   25: list<string> workingEngines = []
   /* Services whose upstreams answered requests of the sender with success, with the age of the last such answer. */
   26: map<string, i64> answerAgesMs = {}
+  /* Services with upstreams that name limits, of which the sender has not used up its share. */
+  27: list<string> spareServices = []
 }
 
 /* Requests the changes of the list of upstreams. */
--- a/whinjunction-router/src/main/java/io/whinjunction/router/Attempt.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/Attempt.java
@@ -601,6 +601,7 @@
 
 	private void endNotRunByRelay(String reason) {
 		this.session.recordRelayRefusal(this.head.notice().retryAfterMs());
+		this.session.router().relays().refused(this.target.first());
 		if (this.sentByRelay > 0) {
 			end(new AttemptOutcome.NotRun(reason), null);
 		}
--- a/whinjunction-router/src/main/java/io/whinjunction/router/ForwardSession.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/ForwardSession.java
@@ -352,17 +352,25 @@
 		Reachability reachability = this.router.reachability().of(this.service.name());
 		if (reachability == Reachability.REACHED) {
 			Optional<Target> direct = chooseUpstream();
-			OptionalLong unconnectedSinceMs = this.router.reachability().unconnectedSinceMs(this.service.name());
-			if (direct.isPresent() || unconnectedSinceMs.isEmpty() || this.relayedFor != null) {
-				return direct;
-			}
-			return this.router.relays()
-				.chooseAnswered(this.service.name(), this.history.failedAt(), unconnectedSinceMs.getAsLong());
+			return (direct.isPresent() || this.relayedFor != null) ? direct : chooseHelper();
 		}
 		Optional<Target> relay = chooseRelay();
 		return (relay.isPresent() || reachability == Reachability.CUT_OFF) ? relay : chooseUpstream();
 	}
 
+	// A router that is not cut off has other routers send a request only if one of them
+	// is known to be able to.
+	private Optional<Target> chooseHelper() {
+		if (this.router.limits().usedUp(this.service.name())) {
+			return this.router.relays().chooseSpare(this.service.name(), this.history.failedAt());
+		}
+		OptionalLong unconnectedSinceMs = this.router.reachability().unconnectedSinceMs(this.service.name());
+		return unconnectedSinceMs.isPresent()
+				? this.router.relays()
+					.chooseAnswered(this.service.name(), this.history.failedAt(), unconnectedSinceMs.getAsLong())
+				: Optional.empty();
+	}
+
 	private Optional<Target> chooseRelay() {
 		return (this.relayedFor == null) ? this.router.relays().choose(this.service.name(), this.history.failedAt())
 				: Optional.empty();
--- a/whinjunction-router/src/main/java/io/whinjunction/router/PeerCodec.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/PeerCodec.java
@@ -81,7 +81,8 @@
 				status.routers(), status.leaving(), status.paceByEngine(), status.leading(), status.leaderAgeMs(),
 				list.version().revision(), list.changedAt(), list.ageMs(), list.watching(), list.version().era(),
 				status.storeEra(), status.storeReturnAgeMs(), status.reach().contactAgesMs(), status.reach().relays(),
-				status.reach().leaseReleaseAgeMs(), status.reach().workingEngines(), status.reach().answerAgesMs());
+				status.reach().leaseReleaseAgeMs(), status.reach().workingEngines(), status.reach().answerAgesMs(),
+				status.reach().spareServices());
 	}
 
 	private static ChangesAnswer encoded(UpstreamChanges changes) {
@@ -214,8 +215,9 @@
 				status.getSequence(), status.isAnswer(), status.getVersion(), status.getProofAgeMs(),
 				status.getSuspects(), status.getTokenLayersByEngine(), status.getRouters(), status.isLeaving(),
 				status.getPaceByEngine(), status.isLeading(), status.getLeaderAgeMs(), list, status.getStoreEra(),
-				status.getStoreReturnAgeMs(), new PeerReach(status.getContactAgesMs(), status.isRelays(),
-						status.getLeaseReleaseAgeMs(), status.getWorkingEngines(), status.getAnswerAgesMs())));
+				status.getStoreReturnAgeMs(),
+				new PeerReach(status.getContactAgesMs(), status.isRelays(), status.getLeaseReleaseAgeMs(),
+						status.getWorkingEngines(), status.getAnswerAgesMs(), status.getSpareServices())));
 	}
 
 	private static boolean allValid(List<String> addresses) {
--- a/whinjunction-router/src/main/java/io/whinjunction/router/PeerMessageHandler.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/PeerMessageHandler.java
@@ -62,7 +62,8 @@
 				this.layerReconciler.slowdowns(), this.leadership.holds(), this.router.peers().leaderAgeMs(nowMs),
 				this.directorySynchronizer.state(), this.era.current(), this.configurationSynchronizer.restoreAgeMs(),
 				new PeerReach(this.router.reachability().contactAgesMs(), true, this.leadership.releaseAgeMs(),
-						this.router.engineMonitor().workingReported(), this.router.relays().answerAgesMs()));
+						this.router.engineMonitor().workingReported(), this.router.relays().answerAgesMs(),
+						this.router.limits().spareServices()));
 	}
 
 	@Override
--- a/whinjunction-router/src/main/java/io/whinjunction/router/PeerReach.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/PeerReach.java
@@ -16,20 +16,23 @@
  * work as far as the router sees
  * @param answerAgesMs the services whose upstreams answered its requests with success,
  * with the age of the last such answer, in milliseconds
+ * @param spareServices the services with upstreams that name limits, of which it has not
+ * used up its share
  */
 record PeerReach(Map<String, Long> contactAgesMs, boolean relays, long leaseReleaseAgeMs, List<String> workingEngines,
-		Map<String, Long> answerAgesMs) {
+		Map<String, Long> answerAgesMs, List<String> spareServices) {
 
 	/** In place of an age: no upstream of the service is reached now. */
 	static final long NOT_REACHED = -1;
 
 	/** The reach of a router that reports none. */
-	static final PeerReach NONE = new PeerReach(Map.of(), false, -1, List.of(), Map.of());
+	static final PeerReach NONE = new PeerReach(Map.of(), false, -1, List.of(), Map.of(), List.of());
 
 	PeerReach {
 		contactAgesMs = Map.copyOf(contactAgesMs);
 		workingEngines = List.copyOf(workingEngines);
 		answerAgesMs = Map.copyOf(answerAgesMs);
+		spareServices = List.copyOf(spareServices);
 	}
 
 	/**
--- a/whinjunction-router/src/main/java/io/whinjunction/router/PeerRelays.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/PeerRelays.java
@@ -80,6 +80,9 @@
 	/** When an upstream last answered a request with success, by service. */
 	private final Map<String, Long> answeredAtMs = new HashMap<>();
 
+	/** When peers last refused a request, by address. */
+	private final Map<String, Long> refusedAtMs = new HashMap<>();
+
 	private int forPeers;
 
 	/**
@@ -126,6 +129,20 @@
 		});
 	}
 
+	/**
+	 * Chooses a peer although this router is not cut off from the service: one that has
+	 * not used up its share of the limits of upstreams.
+	 * @param service the service of the request
+	 * @param excluded the incarnations of peers that did not take the request
+	 * @return the peer, or empty if none is known to have a share left
+	 */
+	Optional<Target> chooseSpare(String service, Set<String> excluded) {
+		return choose(service, excluded,
+				(status) -> status.reach().spareServices().contains(service)
+						&& this.router.peers().statusReceivedAtMs(status.address()) > this.refusedAtMs
+							.getOrDefault(status.address(), Long.MIN_VALUE));
+	}
+
 	private Optional<Target> choose(String service, Set<String> excluded, Predicate<PeerStatus> mayHelp) {
 		long nowMs = this.router.nowMs();
 		RoutingConfiguration configuration = this.router.configuration();
@@ -255,6 +272,16 @@
 		this.avoidedUntilMs.put(peer.incarnation(), nowMs + AVOID_MS);
 	}
 
+	/**
+	 * Records that a peer refused a request: what its last status says has changed.
+	 * @param peer the peer
+	 */
+	void refused(Upstream peer) {
+		long nowMs = this.router.nowMs();
+		this.refusedAtMs.values().removeIf((atMs) -> nowMs - atMs > ANSWER_MS);
+		this.refusedAtMs.put(peer.address(), nowMs);
+	}
+
 	/**
 	 * Takes a request of a peer if there is room.
 	 * @return whether it is taken; {@link #released()} follows at its end
--- a/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamLimits.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamLimits.java
@@ -4,7 +4,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.random.RandomGenerator;
+import java.util.stream.Stream;
 
 import com.google.common.flogger.FluentLogger;
 import io.whinjunction.limit.SharedRate;
@@ -136,6 +138,36 @@
 		return limit.rate.ready(nowMs);
 	}
 
+	/**
+	 * Returns whether this router has used up its share of the limit of an upstream.
+	 * @param service the service of the upstream
+	 * @return whether another router may be able to send a request
+	 */
+	boolean usedUp(String service) {
+		return limited()
+			.anyMatch((state) -> state.upstream().service().equals(service) && !allows(state.incarnation()));
+	}
+
+	/**
+	 * Returns the services with upstreams that report limits, of which this router has
+	 * not used up its share.
+	 * @return the names of the services
+	 */
+	List<String> spareServices() {
+		return limited().filter((state) -> !state.leaving() && allows(state.incarnation()))
+			.map((state) -> state.upstream().service())
+			.distinct()
+			.toList();
+	}
+
+	private Stream<UpstreamState> limited() {
+		return this.limits.entrySet()
+			.stream()
+			.filter((entry) -> entry.getValue().perSecond >= 0)
+			.map((entry) -> this.router.directory().find(entry.getKey()))
+			.filter(Objects::nonNull);
+	}
+
 	private double share(String upstream, double perSecond) {
 		double used = Math.max(MIN_PER_SECOND, USED_RATIO * perSecond);
 		int senders = MIN_SENDERS + (int) Math.min(Integer.MAX_VALUE / 2, SENDERS_PER_LIMIT * used);
--- a/whinjunction-router/src/test/java/io/whinjunction/router/PeerTableTests.java
+++ b/whinjunction-router/src/test/java/io/whinjunction/router/PeerTableTests.java
@@ -242,7 +242,7 @@
 		return new PeerStatus("n", address, "a", sequence, answer, 4, proofAgeMs, List.of("10.1.1.1:80"),
 				Map.of("e1", 100L), List.of("10.0.0.9:1"), false, Map.of("e1", 3.0), true, -1,
 				new UpstreamListState(Versions.v(9), 7, 120, true), 0, -1,
-				new PeerReach(Map.of("s", 5L), true, -1, List.of("e2"), Map.of("s", 9L)));
+				new PeerReach(Map.of("s", 5L), true, -1, List.of("e2"), Map.of("s", 9L), List.of("s")));
 	}
 
 	private static PeerStatus ofLeader(String address, boolean leading, boolean leaving, long leaderAgeMs) {
