--- a/whinjunction-core/src/test/java/io/whinjunction/forward/CrashSpreadTests.java
+++ b/whinjunction-core/src/test/java/io/whinjunction/forward/CrashSpreadTests.java
@@ -16,8 +16,12 @@
 
 	private static final int SEEDS = 50;
 
+	private static final int PART_SEEDS = 5;
+
 	private static final int ROUTERS = 95;
 
+	private static final int TARGET_ROUTERS = 390;
+
 	private static final int PEERS_PER_PERIOD = 3;
 
 	private static final long PERIOD_MS = 250;
@@ -55,7 +59,7 @@
 			}
 
 			for (long nowMs = 0; nowMs < DEADLINE_MS; nowMs += PERIOD_MS) {
-				exchange(routers, nowMs, random);
+				exchange(routers, CrashSpreadTests::send, nowMs, random);
 			}
 
 			assertThat(routers).as("seed %d", seed)
@@ -64,20 +68,65 @@
 		}
 	}
 
-	private static void exchange(List<CrashingRequests> routers, long nowMs, Random random) {
-		for (CrashingRequests router : routers) {
-			for (int sent = 0; sent < PEERS_PER_PERIOD; sent++) {
-				CrashingRequests peer = routers.get(random.nextInt(ROUTERS));
-				send(router, peer, nowMs, random);
-				send(peer, router, nowMs, random);
+	// Guards against the same for a part of prompts, in the largest fleet.
+	@Test
+	void allRoutersOfALargeFleetRefuseAPartInTime() {
+		PromptPart crashing = new PromptPart(1);
+		for (int seed = 0; seed < PART_SEEDS; seed++) {
+			Random random = new Random(seed);
+			List<CrashingParts> routers = new ArrayList<>();
+			for (int index = 0; index < TARGET_ROUTERS; index++) {
+				routers.add(new CrashingParts());
 			}
+			for (int crash = 0; crash < CrashingParts.MAX_CRASHES; crash++) {
+				CrashingParts observer = routers.get(random.nextInt(TARGET_ROUTERS));
+				CrashingParts.Crash seen = new CrashingParts.Crash("e-" + crash, 200L * crash, 200L * crash + 100,
+						true);
+				observer.crashed(new RequestFingerprint(crash), List.of(crashing), seen, seen.atMs());
+				for (int cut = 0; cut < OTHERS_CUT; cut++) {
+					observer.crashed(new RequestFingerprint(random.nextLong()),
+							List.of(new PromptPart(random.nextLong())), seen, seen.atMs());
+				}
+			}
+
+			for (long nowMs = 500; nowMs < 500 + DEADLINE_MS; nowMs += PERIOD_MS) {
+				exchange(routers, CrashSpreadTests::send, nowMs, random);
+			}
+
+			assertThat(routers).as("seed %d", seed)
+				.allMatch((router) -> router.refusedPart(List.of(crashing), 500 + DEADLINE_MS).isPresent());
+			assertThat(routers).as("seed %d", seed)
+				.allMatch((router) -> router.verdicts(500 + DEADLINE_MS).size() == 1);
 		}
 	}
 
-	private static void send(CrashingRequests from, CrashingRequests to, long nowMs, Random random) {
-		if (random.nextDouble() >= LOSS_RATIO) {
-			from.historiesToSend(nowMs).forEach((history) -> to.receive(history, nowMs));
+	private static <T> void exchange(List<T> routers, Sending<T> sending, long nowMs, Random random) {
+		for (T router : routers) {
+			for (int sent = 0; sent < PEERS_PER_PERIOD; sent++) {
+				T peer = routers.get(random.nextInt(routers.size()));
+				if (random.nextDouble() >= LOSS_RATIO) {
+					sending.send(router, peer, nowMs);
+				}
+				if (random.nextDouble() >= LOSS_RATIO) {
+					sending.send(peer, router, nowMs);
+				}
+			}
 		}
 	}
 
+	private static void send(CrashingRequests from, CrashingRequests to, long nowMs) {
+		from.historiesToSend(nowMs).forEach((history) -> to.receive(history, nowMs));
+	}
+
+	private static void send(CrashingParts from, CrashingParts to, long nowMs) {
+		from.historiesToSend(nowMs).forEach((history) -> to.receive(history, nowMs));
+	}
+
+	/** Sends what one router knows to another. */
+	private interface Sending<T> {
+
+		void send(T from, T to, long nowMs);
+
+	}
+
 }
--- a/whinjunction-router/src/main/java/io/whinjunction/router/PeerLink.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/PeerLink.java
@@ -41,7 +41,7 @@
 	 * The largest message, in bytes. The channel truncates longer ones, which can't be
 	 * decoded. A message names at most {@link RecentChanges#MAX_PER_ANSWER} upstreams.
 	 */
-	private static final int MAX_DATAGRAM_BYTES = 16_384;
+	static final int MAX_DATAGRAM_BYTES = 16_384;
 
 	/** Peers to which an urgent status is sent at once. */
 	private static final int URGENT_FANOUT = 12;
--- a/whinjunction-router/src/test/java/io/whinjunction/router/PeerTableTests.java
+++ b/whinjunction-router/src/test/java/io/whinjunction/router/PeerTableTests.java
@@ -7,6 +7,7 @@
 
 import io.whinjunction.configuration.LayerRange;
 import io.whinjunction.forward.CrashHistory;
+import io.whinjunction.forward.CrashingParts;
 import io.whinjunction.forward.PartHistory;
 import io.whinjunction.forward.PromptPart;
 import io.whinjunction.forward.RequestFingerprint;
@@ -93,6 +94,27 @@
 		assertThat(codec.decode(codec.encode(reports))).contains(reports);
 	}
 
+	// Guards against reports that the receiving channel would truncate.
+	@Test
+	void theLargestReportOfPartsFitsIntoADatagram() {
+		CrashingParts parts = new CrashingParts();
+		for (int part = 0; part < 100; part++) {
+			for (int crash = 0; crash < 20; crash++) {
+				long atMs = 1_000_000_000L + 2000 * crash;
+				parts.crashed(new RequestFingerprint(Long.MAX_VALUE - crash), List.of(new PromptPart(part)),
+						new CrashingParts.Crash("an-upstream-with-a-rather-long-name-" + crash + "@1764000000000",
+								atMs - 100, atMs, true),
+						atMs);
+			}
+		}
+		List<PartHistory> histories = parts.historiesToSend(1_000_039_000L);
+
+		byte[] encoded = new PeerCodec().encode(new PeerMessage.CrashReports(List.of(), histories));
+
+		assertThat(histories).hasSizeGreaterThan(10);
+		assertThat(encoded.length).isLessThan(PeerLink.MAX_DATAGRAM_BYTES);
+	}
+
 	@Test
 	void limitsSurviveEncoding() {
 		PeerMessage.Limits limits = new PeerMessage.Limits(
