A part that is heard to have run well is no alternative from then on

What callers saw: nothing yet; found by reading. Requests with a crashing part, but without the first part that explained the same crashes, would be sent on after a peer had told that the first part runs well.

Cause: the alternatives of a verdict were kept until a crash changed, though they depend on which parts are known to run well too.

CrashingPartsTests.anAlternativeThatIsFoundToRunSuccessfullyBeforeIsNoneAnyMore failed before and passes.

--- a/whinjunction-core/src/main/java/io/whinjunction/forward/CrashingParts.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/forward/CrashingParts.java
@@ -218,7 +218,13 @@
 		Long before = this.ranWellAtMs.remove(part);
 		this.ranWellAtMs.put(part, (before != null) ? Math.max(before, begunAtMs) : begunAtMs);
 		Suspect suspect = this.suspects.get(part);
-		if (suspect != null && suspect.clear(begunAtMs)) {
+		if (suspect == null) {
+			return;
+		}
+		if (before == null) {
+			this.changes++;
+		}
+		if (suspect.clear(begunAtMs)) {
 			changed(part, suspect, nowMs);
 		}
 	}
--- a/whinjunction-core/src/test/java/io/whinjunction/forward/CrashingPartsTests.java
+++ b/whinjunction-core/src/test/java/io/whinjunction/forward/CrashingPartsTests.java
@@ -137,6 +137,20 @@
 		assertThat(refused(1100, FIRST)).isFalse();
 	}
 
+	// Guards against a verdict that takes in a sound part of which a peer knows.
+	@Test
+	void anAlternativeThatIsFoundToRunSuccessfullyBeforeIsNoneAnyMore() {
+		crash(0, FIRST, CRASHING);
+		crash(200, FIRST, CRASHING);
+		crash(400, FIRST, CRASHING);
+		assertThat(refused(500, CRASHING, OTHER)).isFalse();
+
+		ranWell(-700, -100, FIRST);
+
+		assertThat(refused(510, CRASHING, OTHER)).isTrue();
+		assertThat(refused(510, FIRST, OTHER)).isFalse();
+	}
+
 	// Engines that end in turn for another reason cut requests with all kinds of parts.
 	@Test
 	void crashesThatManyPartsExplainCondemnNone() {
