Crashes after a restore decide anew which part is to blame

What callers saw: nothing yet; found by reading. A verdict that two parts explain, restored from the store, stayed one on requests with both, however many upstreams requests with one of them crashed afterwards.

CrashingPartsTests.crashesAfterARestoreDecideAnew failed before and passes.

--- a/whinjunction-core/src/main/java/io/whinjunction/forward/CrashingParts.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/forward/CrashingParts.java
@@ -354,11 +354,11 @@
 	}
 
 	private Set<PromptPart> alternatives(PromptPart part, Suspect suspect) {
-		if (suspect.restoredAtMs != NEVER_MS) {
+		boolean known = knownBefore(part, suspect);
+		if (suspect.restoredAtMs != NEVER_MS && !suspect.crashesSuffice(known)) {
 			return suspect.restoredAlternatives;
 		}
 		if (suspect.alternativesAt != this.changes) {
-			boolean known = knownBefore(part, suspect);
 			suspect.alternativesAt = this.changes;
 			suspect.alternatives = this.suspects.entrySet()
 				.stream()
--- a/whinjunction-core/src/test/java/io/whinjunction/forward/CrashingPartsTests.java
+++ b/whinjunction-core/src/test/java/io/whinjunction/forward/CrashingPartsTests.java
@@ -308,6 +308,20 @@
 		}
 	}
 
+	// Guards against a part that crashes upstreams forever beside other parts than those
+	// of the verdict that was restored.
+	@Test
+	void crashesAfterARestoreDecideAnew() {
+		this.parts.restore(new PartVerdict(CRASHING, List.of(FIRST)).toString(), START_MS);
+		assertThat(refused(1, CRASHING, OTHER)).isFalse();
+
+		crash(100, OTHER, CRASHING);
+		crash(300, CRASHING);
+		crash(500, CRASHING);
+
+		assertThat(refused(700, CRASHING, OTHER)).isTrue();
+	}
+
 	@Test
 	void aNameThatIsNoVerdictRestoresNothing() {
 		for (String name : List.of("part-", "part-12", "part-000000000000000x", "0000000000000007",
