A failure of an engine is no proof that a part of a prompt is harmless

What callers saw: where engines fail some requests with a status of their own, a part that crashes engines would never be refused: each failure cleared its crashes.

Cause: any answer counted as a good run, as it does for a whole request. An engine may fail a request before it runs the parts of its prompt.

Change: only an answer with success, or events for half a second, clears a part.

--- a/whinjunction-core/src/main/java/io/whinjunction/forward/CrashingParts.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/forward/CrashingParts.java
@@ -221,9 +221,7 @@
 		if (suspect == null) {
 			return;
 		}
-		if (before == null) {
-			this.changes++;
-		}
+		this.changes++;
 		if (suspect.clear(begunAtMs)) {
 			changed(part, suspect, nowMs);
 		}
--- a/whinjunction-core/src/test/java/io/whinjunction/forward/CrashingPartsTests.java
+++ b/whinjunction-core/src/test/java/io/whinjunction/forward/CrashingPartsTests.java
@@ -69,8 +69,9 @@
 		ranWell(350, 900, CRASHING);
 		crash(1000, CRASHING);
 		crash(1200, CRASHING);
+		crash(KNOWN_SPREAD_MS + 200, CRASHING);
 
-		assertThat(refused(1400, CRASHING)).isFalse();
+		assertThat(refused(KNOWN_SPREAD_MS + 400, CRASHING)).isFalse();
 	}
 
 	// An earlier run shows little: the part may have become harmful since.
--- a/whinjunction-router/src/main/java/io/whinjunction/router/CrashGuard.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/CrashGuard.java
@@ -251,13 +251,21 @@
 	}
 
 	/**
-	 * Records that a request was answered, or ran for a while.
+	 * Records that an upstream answered a request, if only with a failure.
+	 * @param request the request
+	 */
+	void survived(RequestFingerprint request) {
+		this.requests.ranWell(request, this.router.nowMs());
+		this.records.observed(request.toString());
+	}
+
+	/**
+	 * Records that a request was answered with success, or ran for a while.
 	 * @param request the request
 	 * @param begunAtMs when the upstream began to answer it
 	 */
 	void ranWell(RequestIdentity request, long begunAtMs) {
-		this.requests.ranWell(request.fingerprint(), this.router.nowMs());
-		this.records.observed(request.fingerprint().toString());
+		survived(request.fingerprint());
 		boolean refused = this.parts.refusedPart(request.parts(), this.router.nowMs()).isPresent();
 		this.parts.ranWell(request.parts(), begunAtMs, this.router.nowMs());
 		if (refused) {
--- a/whinjunction-router/src/main/java/io/whinjunction/router/ForwardSession.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/ForwardSession.java
@@ -721,7 +721,7 @@
 	}
 
 	/**
-	 * Records that the request was answered, or produced events for a while.
+	 * Records that the request was answered with success, or produced events for a while.
 	 * @param begunAtMs when the upstream began to answer it
 	 */
 	void ranWell(long begunAtMs) {
@@ -729,16 +729,24 @@
 		this.router.crashGuard().ranWell(this.identity, begunAtMs);
 	}
 
+	// An upstream may fail a request before it runs the parts of the prompt.
+	private void survived() {
+		this.router.crashGuard().survived(this.identity.fingerprint());
+	}
+
 	/**
 	 * Passes a complete answer to the caller.
 	 * @param answer the answer
 	 */
 	void onAnswer(Answer answer) {
-		ranWell(this.attempt.headAtMs());
-		this.attempt = null;
 		if (answer.status().codeClass() == HttpStatusClass.SUCCESS) {
+			ranWell(this.attempt.headAtMs());
 			recordAnswered();
 		}
+		else {
+			survived();
+		}
+		this.attempt = null;
 		finish("answered", Integer.toString(answer.status().code()), answer);
 	}
 
@@ -765,7 +773,7 @@
 	 * @param answer the answer
 	 */
 	void onFailedAnswer(Answer answer) {
-		ranWell(this.attempt.headAtMs());
+		survived();
 		this.failedAnswer = answer;
 		onAttemptOutcome(new AttemptOutcome.Failed("status-" + answer.status().code()), null);
 	}
