Requests that a verdict covers later are given up where they wait

A verdict that two parts explain covers all requests with one of them once the other is cleared. Found by reading.

--- a/whinjunction-router/src/main/java/io/whinjunction/router/CrashGuard.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/CrashGuard.java
@@ -130,11 +130,12 @@
 	}
 
 	/**
-	 * Applies what follows from the passage of time alone: crashes count once they are
-	 * settled.
+	 * Applies what follows from the passage of time alone, or from a good run of another
+	 * request: crashes count once they are settled, and a verdict covers more requests
+	 * once another part is cleared.
 	 */
 	void sweep() {
-		if (refusedRequests() > 0) {
+		if (refusedRequests() > 0 || refusedParts() > 0) {
 			giveUpRefused();
 		}
 		this.records.reconcile();
