A late read of the configuration starts another one whatever the two clocks say

The timer runs on the monotonic clock, the time of a read on one that counts suspensions. A millisecond's difference made the read look awaited still, and nothing looked again: the next read came 3.5 s after a lost reply instead of one. Found by reading.

OverlappingReadsTests.anotherReadStartsAlsoIfTheClockOfProofsIsAMillisecondBehind failed before and passes.

--- a/whinjunction-router/src/main/java/io/whinjunction/router/OverlappingReads.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/OverlappingReads.java
@@ -39,7 +39,8 @@
 
 	private long newestAtMs = NEVER_MS;
 
-	private boolean newestOpen;
+	/** Whether the newest read is neither answered nor known to be late. */
+	private boolean newestInTime;
 
 	/** When the latest read began that was answered. */
 	private long answeredAtMs = NEVER_MS;
@@ -66,7 +67,7 @@
 		long requestedAtMs = this.boot.nowMs();
 		this.underWay++;
 		this.newestAtMs = requestedAtMs;
-		this.newestOpen = true;
+		this.newestInTime = true;
 		this.loop.schedule(() -> startAnotherIfLate(requestedAtMs), LATE_MS, TimeUnit.MILLISECONDS);
 		this.store.accept((reply) -> replied(reply, requestedAtMs));
 	}
@@ -76,11 +77,12 @@
 	 * @return {@code false} if there is no read, or the newest one is late
 	 */
 	boolean awaited() {
-		return this.newestOpen && this.boot.nowMs() - this.newestAtMs < LATE_MS;
+		return this.newestInTime && this.boot.nowMs() - this.newestAtMs < LATE_MS;
 	}
 
 	private void startAnotherIfLate(long requestedAtMs) {
-		if (this.newestOpen && this.newestAtMs == requestedAtMs) {
+		if (this.newestInTime && this.newestAtMs == requestedAtMs) {
+			this.newestInTime = false;
 			this.listener.late();
 			start();
 		}
@@ -89,7 +91,7 @@
 	private void replied(StoreReply<T> reply, long requestedAtMs) {
 		this.underWay--;
 		boolean newest = requestedAtMs == this.newestAtMs;
-		this.newestOpen &= !newest;
+		this.newestInTime &= !newest;
 		if (requestedAtMs < this.answeredAtMs) {
 			return;
 		}
--- a/whinjunction-router/src/test/java/io/whinjunction/router/OverlappingReadsTests.java
+++ b/whinjunction-router/src/test/java/io/whinjunction/router/OverlappingReadsTests.java
@@ -66,6 +66,18 @@
 		assertThat(this.seen).containsExactly("late");
 	}
 
+	// Guards against a read that is waited for until its time limit since the two clocks
+	// differ.
+	@Test
+	void anotherReadStartsAlsoIfTheClockOfProofsIsAMillisecondBehind() {
+		this.reads.start();
+		this.nowMs--;
+
+		pass(OverlappingReads.LATE_MS);
+
+		assertThat(this.open).hasSize(2);
+	}
+
 	// Guards against routers that drop the answers of a slow store.
 	@Test
 	void aLateReplyProvesTheValueAsOfTheStartOfItsRead() {
