--- a/review/3/BlockedRouter.java
+++ b/review/3/BlockedRouter.java
@@ -158,7 +158,7 @@
 	private void stream(Server.Exchange exchange, boolean spoils) throws IOException, InterruptedException {
 		exchange.readBody();
 		String attempt = exchange.attempt();
-		String last = exchange.head().header("Last-Event-Id");
+		String last = exchange.head().header(Wire.LAST_EVENT_ID);
 		int first = (last != null) ? Integer.parseInt(last) + 1 : 1;
 		OutputStream out = new BufferedOutputStream(exchange.out(), 65_536);
 		out.write(("HTTP/1.1 200 OK\r\n" + Wire.ATTEMPT_ID + ": " + attempt + "\r\n" + Wire.SERVER_STAMP + ": stamp-"
--- a/review/standins/Wire.java
+++ b/review/standins/Wire.java
@@ -18,6 +18,8 @@
 
 	public static final String INSTANCE_ID = name("instance-id");
 
+	public static final String LAST_EVENT_ID = name("last-event-id");
+
 	public static final String SERVER_STAMP = name("server-stamp");
 
 	/** The path below which the store has its objects. */
