Logs and metrics tell why a request outlives its caller

The line of a request that ended with its caller did not say when the request had been sent, so that a request read late, one that waited inside and one whose bytes were under way at the close all looked alike.

--- a/whinjunction-router/src/main/java/io/whinjunction/router/Attempt.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/Attempt.java
@@ -136,6 +136,25 @@
 		return this.sent && !this.ended;
 	}
 
+	/**
+	 * Returns how far the attempt has come.
+	 * @return the phase of a request whose attempt is under way
+	 */
+	RequestPhase phase() {
+		if (!this.sent) {
+			return RequestPhase.CONNECTING;
+		}
+		return (this.head != null) ? RequestPhase.ANSWERING : RequestPhase.UNANSWERED;
+	}
+
+	/**
+	 * Returns when the request was written.
+	 * @return the time in milliseconds; meaningless before {@link #sent()}
+	 */
+	long sentAtMs() {
+		return this.sentAtMs;
+	}
+
 	/**
 	 * Whether this router itself did not send the request over an established connection.
 	 * @return whether it did not, which is no evidence against the upstream
--- a/whinjunction-router/src/main/java/io/whinjunction/router/ForwardSession.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/ForwardSession.java
@@ -236,7 +236,7 @@
 	/** Handles the close of the caller's connection: nobody waits for the answer. */
 	void onCallerGone() {
 		if (!this.done) {
-			end("gone", "caller-gone");
+			end(RequestLog.GONE, "caller-gone");
 		}
 	}
 
@@ -947,6 +947,9 @@
 
 	private void end(String outcome, String reason) {
 		this.done = true;
+		RequestPhase phase = (this.attempt != null) ? this.attempt.phase() : RequestPhase.UNSENT;
+		boolean underWay = this.attempt != null && this.attempt.sent();
+		long sentMsAgo = underWay ? this.router.nowMs() - this.attempt.sentAtMs() : -1;
 		if (this.takenForPeer) {
 			this.takenForPeer = false;
 			this.router.relays().released();
@@ -962,7 +965,7 @@
 			this.attempt.abandon();
 			this.attempt = null;
 		}
-		RequestLog.ended(this, outcome, reason);
+		RequestLog.ended(this, outcome, reason, phase, sentMsAgo);
 	}
 
 	Target lastTarget() {
--- a/whinjunction-router/src/main/java/io/whinjunction/router/RequestLog.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/RequestLog.java
@@ -21,6 +21,9 @@
 	/** Bounds the length of a log line. */
 	private static final int MAX_LOGGED_PARTS = 4;
 
+	/** The outcome of a request whose caller closed its connection. */
+	static final String GONE = "gone";
+
 	private RequestLog() {
 	}
 
@@ -29,26 +32,33 @@
 	 * @param session the request
 	 * @param outcome its outcome
 	 * @param reason the reason of the outcome
+	 * @param phase how far the attempt under way had come
+	 * @param sentMsAgo how long ago that attempt was sent, in milliseconds; -1 if none
+	 * was
 	 */
-	static void ended(ForwardSession session, String outcome, String reason) {
+	static void ended(ForwardSession session, String outcome, String reason, RequestPhase phase, long sentMsAgo) {
 		RouterContext router = session.router();
 		long tookMs = router.nowMs() - session.startedMs();
 		String kind = (session.route() != null) ? session.route().kind().name() : "none";
 		router.metrics().ended(kind, outcome, tookMs);
+		if (outcome.equals(GONE)) {
+			router.metrics().callerLeft(phase);
+		}
 		RoutingConfiguration configuration = router.configuration();
 		logger.atInfo()
 			.log("event=request id=%s print=%s parts=%s outcome=%s reason=%s no-retry=%s kind=%s route=%s service=%s team=%s sent=%d not-sent=%d "
 					+ "events=%d tokens=%d+%d %s took-ms=%d aim-ms=%d gap-aim-ms=%d taken-in-stop-ms=%s %s version=%d proof-age-ms=%d origin=%s "
-					+ "rank=%d waited-ms=%d", session.request().id(), print(session), parts(session), outcome, reason,
-					(session.obstacle() != null) ? session.obstacle().logName() : "-", kind,
-					(session.route() != null) ? session.route().name() : "-",
+					+ "rank=%d waited-ms=%d phase=%s sent-ms-ago=%d", session.request().id(), print(session),
+					parts(session), outcome, reason, (session.obstacle() != null) ? session.obstacle().logName() : "-",
+					kind, (session.route() != null) ? session.route().name() : "-",
 					(session.service() != null) ? session.service().name() : "-",
 					(session.teamName() != null) ? session.teamName() : "-", session.history().sent(),
 					session.history().notSent(), session.events().events(), session.request().promptTokens(),
 					session.request().answerTokens(), session.progress(), tookMs, aimMs(session.route()),
 					gapAimMs(session.route()), takenInStopMs(router, tookMs), target(session.lastTarget()),
 					(configuration != null) ? configuration.version() : -1, router.proof().ageMs(router.bootMs()),
-					session.originName(), (session.route() != null) ? session.priority() : -1, session.waitedMs());
+					session.originName(), (session.route() != null) ? session.priority() : -1, session.waitedMs(),
+					phase.logName(), sentMsAgo);
 	}
 
 	/**
--- a/whinjunction-router/src/main/java/io/whinjunction/router/Router.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/Router.java
@@ -58,6 +58,9 @@
 	/** The interval between two sweeps of idle connections, in milliseconds. */
 	private static final long SWEEP_INTERVAL_MS = 500;
 
+	/** The lateness of a sweep from which on it is logged, in milliseconds. */
+	private static final long LOGGED_LATENESS_MS = 200;
+
 	/**
 	 * The maximum interval between two run notes of a running process, in milliseconds:
 	 * two sweep intervals.
@@ -148,6 +151,8 @@
 
 	private final PauseDetector pauseDetector;
 
+	private long sweptAtMs;
+
 	/**
 	 * Creates a router.
 	 * @param group its event loop group, with one event loop
@@ -219,6 +224,7 @@
 		announce();
 		this.crashGuard.start();
 		this.loop.schedule(this.callersPort::close, CallersPort.MAX_WAIT_MS, TimeUnit.MILLISECONDS);
+		this.sweptAtMs = bootMs();
 		this.loop.scheduleAtFixedRate(this::sweep, SWEEP_INTERVAL_MS, SWEEP_INTERVAL_MS, TimeUnit.MILLISECONDS);
 		ReadyHandler ready = new ReadyHandler(this.dialect.readyPath(), this::ready, this.metrics);
 		listen(this.settings.ready(), (channel) -> channel.pipeline().addLast(new HttpServerCodec(), ready));
@@ -394,6 +400,7 @@
 
 	private void sweep() {
 		this.pauseDetector.recordActivity(bootMs());
+		recordLateness();
 		this.pool.sweep();
 		this.crashGuard.sweep();
 		this.limits.sweep();
@@ -418,6 +425,16 @@
 		this.metrics.state("leading", this.leadership.holds() ? 1 : 0);
 	}
 
+	private void recordLateness() {
+		long nowMs = bootMs();
+		long lateMs = Math.max(0, nowMs - this.sweptAtMs - SWEEP_INTERVAL_MS);
+		this.sweptAtMs = nowMs;
+		this.metrics.state("loop_late_ms", lateMs);
+		if (lateMs > LOGGED_LATENESS_MS) {
+			logger.atWarning().log("event=loop-late late-ms=%d callers=%d", lateMs, this.callers.size());
+		}
+	}
+
 	@Override
 	public EventLoop loop() {
 		return this.loop;
--- a/whinjunction-router/src/main/java/io/whinjunction/router/RouterMetrics.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/RouterMetrics.java
@@ -56,6 +56,13 @@
 		.labelNames("rank", "decision")
 		.register(this.registry);
 
+	private final Counter callersLeft = Counter.builder()
+		.name("whin_router_callers_left_total")
+		.help("Requests whose callers closed their connections before the end of the answer, by phase: unsent, connecting, unanswered, answering")
+		.withoutExemplars()
+		.labelNames("phase")
+		.register(this.registry);
+
 	private final Counter storeCalls = Counter.builder()
 		.name("whin_router_store_calls_total")
 		.help("Calls to the platform's store by call and result")
@@ -82,7 +89,7 @@
 
 	private final Gauge state = Gauge.builder()
 		.name("whin_router_state")
-		.help("State by kind: version, proof_age_ms, list_age_ms, store_era, upstreams, callers, crashing_requests, limited_upstreams, backing_off_upstreams, waiting_streams, cut_off_services, relayed_for_peers, leading, layer_moves, log_lines_dropped")
+		.help("State by kind: version, proof_age_ms, list_age_ms, store_era, upstreams, callers, crashing_requests, limited_upstreams, backing_off_upstreams, waiting_streams, cut_off_services, relayed_for_peers, loop_late_ms, leading, layer_moves, log_lines_dropped")
 		.withoutExemplars()
 		.labelNames("kind")
 		.register(this.registry);
@@ -139,6 +146,14 @@
 		this.admissions.labelValues(Integer.toString(rank), decision).inc();
 	}
 
+	/**
+	 * Counts a request whose caller closed its connection.
+	 * @param phase how far the request had come
+	 */
+	void callerLeft(RequestPhase phase) {
+		this.callersLeft.labelValues(phase.logName()).inc();
+	}
+
 	/**
 	 * Counts a call to the platform's store.
 	 * @param call the kind of call
