A request is sent only after a last look at its caller

Servers got requests long after the callers' close (GONE). A request was begun by the read that brought it, or by the event it waited for; the close of its caller is another event, behind it in the same socket or the same turn of a late loop.

Every attempt passes ForwardSession.begin, and Attempt.connected where it waited for its connection. The first attempt begins after the read that brought its request.

--- a/whinjunction-router/src/main/java/io/whinjunction/router/Attempt.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/Attempt.java
@@ -75,6 +75,9 @@
 
 	private UpstreamConnection connection;
 
+	/** Whether a connection, if it is acquired now, was waited for. */
+	private boolean waited;
+
 	private boolean sent;
 
 	private boolean foundEnded;
@@ -183,6 +186,7 @@
 		// repeated gets a new connection, which costs a millisecond.
 		boolean fresh = !this.session.route().repeatable();
 		this.session.router().pool().acquire(this.target.first(), fresh, this.session.maxConnectMs(), this::acquired);
+		this.waited = true;
 	}
 
 	private void acquired(Acquisition acquisition) {
@@ -226,6 +230,10 @@
 			withhold(connected, "stopping");
 			return;
 		}
+		if (this.waited && !this.session.callerWaits()) {
+			connected.channel().close();
+			return;
+		}
 		this.connection = connected;
 		send();
 	}
@@ -334,10 +342,8 @@
 	 */
 	void sendBody(ByteBuf content) {
 		if (!this.sent || this.ended) {
-			// Not connected yet: the chunk is queued behind those that were read before.
-			this.session.body().hold(content);
+			this.session.holdBody(content);
 			content.release();
-			this.session.caller().reading(false);
 			return;
 		}
 		this.connection.channel().writeAndFlush(new DefaultHttpContent(content));
--- a/whinjunction-router/src/main/java/io/whinjunction/router/ForwardSession.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/ForwardSession.java
@@ -217,6 +217,18 @@
 		if (this.attempt != null) {
 			this.attempt.sendBody(content.retain());
 		}
+		else {
+			holdBody(content);
+		}
+	}
+
+	/**
+	 * Queues a chunk of a streamed body behind those that were read and not sent yet.
+	 * @param content the chunk, owned by the caller of this method
+	 */
+	void holdBody(ByteBuf content) {
+		this.body.hold(content);
+		this.caller.reading(false);
 	}
 
 	/** Handles the end of the body. */
@@ -236,10 +248,26 @@
 	/** Handles the close of the caller's connection: nobody waits for the answer. */
 	void onCallerGone() {
 		if (!this.done) {
+			if (this.attempt != null && !this.attempt.sent()) {
+				returnRepeat();
+			}
 			end(RequestLog.GONE, "caller-gone");
 		}
 	}
 
+	/**
+	 * Looks whether the caller still waits, and ends the request if it does not. Called
+	 * immediately before anything is sent: the close may have arrived long before this
+	 * late event loop reads it.
+	 * @return whether the request goes on
+	 */
+	boolean callerWaits() {
+		if (!this.caller.connected()) {
+			onCallerGone();
+		}
+		return !this.done;
+	}
+
 	/**
 	 * Handles a change of the writability of the caller's connection.
 	 * @param writable whether the caller accepts more of the answer
@@ -296,6 +324,14 @@
 		RequestFingerprint fingerprint = RequestFingerprint.of(Objects.requireNonNullElse(teamName(), ""),
 				this.request.method(), this.request.host(), this.request.uri(), this.body.buffered().nioBuffer());
 		this.identity = new RequestIdentity(fingerprint, this.parts);
+		// The caller's connection is being read, and its end may be next.
+		this.router.loop().execute(this::decideFirst);
+	}
+
+	private void decideFirst() {
+		if (this.done) {
+			return;
+		}
 		if (outlivesRouter()) {
 			giveUp(RetryObstacle.STOPPING, RetryObstacle.STOPPING.logName());
 			return;
@@ -399,6 +435,10 @@
 	}
 
 	private void begin() {
+		if (!callerWaits()) {
+			returnRepeat();
+			return;
+		}
 		this.crashRetrial = this.router.crashGuard().isRefused(this.identity);
 		this.attempt = new Attempt(this, this.lastTarget);
 		this.attempt.start();
@@ -525,8 +565,8 @@
 		avoid(ended, end, faultyAddress);
 		RequestLog.attemptEnded(this, ended, end, faultyAddress);
 		recordRelayed(ended, end);
-		if (end instanceof AttemptOutcome.NotSent && this.repeat && !this.borrowed) {
-			this.router.budget(this.service.name()).returnRepeat(this.router.nowMs());
+		if (end instanceof AttemptOutcome.NotSent) {
+			returnRepeat();
 		}
 		if (this.done) {
 			return;
@@ -724,6 +764,13 @@
 		return false;
 	}
 
+	private void returnRepeat() {
+		if (this.repeat && !this.borrowed) {
+			this.router.budget(this.service.name()).returnRepeat(this.router.nowMs());
+			this.repeat = false;
+		}
+	}
+
 	private void avoid(Attempt ended, AttemptOutcome end, String faultyAddress) {
 		long untilMs = this.router.nowMs() + AVOID_MS;
 		UpstreamState faulty = (faultyAddress != null)
