An abandoned request is reset until its answer begins

A server that reads slowly got the rest of a request after the close of its caller: the router's kernel holds what the server's machine has not taken, and delivers it after an orderly close, followed by the end.

A reset drops what the kernel still holds. After the head of the answer the request has begun, and the orderly close stays: it is repeated if packets are lost, a reset is not.

DepartedCallerTests.aRequestThatAServerHasNotReadIsNotCompletedAfterItsCallerLeft failed before: the server got all 60,228 bytes, now a part of them.

--- a/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamConnection.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamConnection.java
@@ -9,6 +9,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpObject;
@@ -125,10 +126,15 @@
 
 	/**
 	 * Abandons the request: the connection is closed at once to signal the upstream to
-	 * stop.
+	 * stop. Before the head of the answer it is reset, as the upstream may not have taken
+	 * all of the request yet, and the kernel would deliver the rest after an orderly
+	 * close.
 	 */
 	void abandon() {
 		this.listener = null;
+		if (!this.headRead && this.channel.isOpen()) {
+			this.channel.config().setOption(ChannelOption.SO_LINGER, 0);
+		}
 		this.channel.close();
 	}
 
