--- a/whinjunction-router/src/main/java/io/whinjunction/router/RouterMetrics.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/RouterMetrics.java
@@ -89,7 +89,7 @@
 
 	private final Gauge state = Gauge.builder()
 		.name("whin_router_state")
-		.help("State by kind: version, proof_age_ms, list_age_ms, store_era, upstreams, callers, crashing_requests, limited_upstreams, backing_off_upstreams, waiting_streams, cut_off_services, relayed_for_peers, loop_late_ms, leading, layer_moves, log_lines_dropped")
+		.help("State by kind: version, proof_age_ms, list_age_ms, store_era, upstreams, callers, crashing_requests, limited_upstreams, backing_off_upstreams, waiting_streams, cut_off_services, relayed_for_peers, loop_late_ms, leading, layer_moves, class_archive, log_lines_dropped")
 		.withoutExemplars()
 		.labelNames("kind")
 		.register(this.registry);
