A caller is read again after its long body was held back

A caller whose body is longer than 64 KB got a true answer on a kept connection and none to its next request, which was never read.

An attempt that is not connected yet stops the reading of the body; only a sent attempt turned it on again. The end of the answer turns it on now, so that the rest of the body is dropped and the next request is read.

RoutedRequestsTests.theNextRequestIsReadAfterALongBodyThatNoServerTook failed before (no second answer within 5 s).

--- a/whinjunction-router/src/main/java/io/whinjunction/router/CallerConnection.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/CallerConnection.java
@@ -440,6 +440,8 @@
 		}
 	}
 
+		// An attempt may have stopped the reading of the body.
+		reading(true);
 	// A request that was queued behind the current one gets its answer before the
 	// connection is closed.
 	private boolean closesForStop() {
