No connection with bytes left over carries another request

A connection returns to the pool only if nothing was received after the answer, and bytes on an idle connection close it at the decoder, whether they make up an HTTP object or not. Before a pooled connection is used its socket is looked at, as the caller's is: a late loop has read neither what is surplus nor the close of the upstream. Surplus heads are still read for what the upstream says of itself.

--- a/whinjunction-router/src/main/java/io/whinjunction/router/CallerConnection.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/CallerConnection.java
@@ -13,7 +13,6 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -53,12 +52,6 @@
 	 */
 	private static final int MAX_QUEUED_OBJECTS = 256;
 
-	/**
-	 * Reads of one look at the caller; more bytes than these take are part of a body that
-	 * is still being sent.
-	 */
-	private static final int MAX_LOOK_READS = 8;
-
 	private final RouterContext router;
 
 	private final boolean ofPeer;
@@ -312,21 +305,12 @@
 	}
 
 	/**
-	 * Looks whether the caller is still connected. Reads what its socket holds, as a
-	 * close lies behind the bytes that arrived before it: a late event loop would
-	 * otherwise act on the request before it reads the close. Must not be called while
-	 * this connection is being read.
+	 * Looks whether the caller is still connected. Must not be called while this
+	 * connection is being read.
 	 * @return {@code false} if the caller has closed or reset the connection
 	 */
 	boolean connected() {
-		AbstractNioChannel.NioUnsafe socket = (AbstractNioChannel.NioUnsafe) this.channel.unsafe();
-		for (int reads = 0; reads < MAX_LOOK_READS && this.channel.isActive(); reads++) {
-			socket.read();
-			if (socket.recvBufAllocHandle().lastBytesRead() <= 0) {
-				break;
-			}
-		}
-		return this.channel.isActive();
+		return SocketLook.open(this.channel);
 	}
 
 	/**
--- a/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamConnection.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamConnection.java
@@ -72,6 +72,14 @@
 	private long idleSinceMs;
 
 	UpstreamConnection(UpstreamPool pool, Upstream upstream, Dialect dialect) {
+	/** Responses skipped since the request was written, interim ones included. */
+	private int skippedResponses;
+
+	private long skippedBytes;
+
+	/** Whether the connection is being read. */
+	private boolean reading;
+
 		this.pool = pool;
 		this.upstream = upstream;
 		this.dialect = dialect;
@@ -111,6 +119,15 @@
 	void begin(String id, boolean bodyless, UpstreamListener listener) {
 		this.decoder.expect(bodyless);
 		this.requestId = id;
+	/**
+	 * Looks whether the idle connection can carry a request: the upstream may have closed
+	 * it, or sent what belongs to no request, and this late event loop has not read it.
+	 * @return {@code false} if it is closed now
+	 */
+	boolean quiet() {
+		return this.reading ? this.channel.isActive() : SocketLook.open(this.channel);
+	}
+
 		this.listener = listener;
 		this.requestWritten = false;
 		this.skipping = false;
@@ -175,6 +192,7 @@
 	private void closeOnSurplus() {
 		logger.atWarning().log("event=surplus upstream=%s address=%s", this.upstream.id(), this.upstream.address());
 		this.channel.close();
+		this.reading = true;
 	}
 
 	// Data of the answer's body, which the decoder does not wrap into HTTP objects.
@@ -208,12 +226,16 @@
 						this.upstream.id());
 			this.skipping = true;
 			return;
+		if (!this.channel.isOpen()) {
+			return;
+		}
 		}
 		this.skipping = false;
 		this.headRead = true;
 		this.framed = HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response);
 		this.keepAlive = HttpUtil.isKeepAlive(response) && this.framed;
 		this.keepAliveMs = head.keepAliveMs();
+		this.reading = true;
 		this.decoder.passChunks(response, this.chunks);
 		this.listener.onHead(head, response);
 	}
@@ -235,10 +257,13 @@
 	private void end() {
 		UpstreamListener ended = this.listener;
 		this.listener = null;
-		this.decoder.ended();
+		boolean clean = this.decoder.ended();
 		// An answer may arrive before the complete request was read; the rest of the body
 		// would then be taken for the next request.
-		if (this.keepAlive && this.requestWritten && this.channel.isActive()) {
+		if (!clean) {
+			closeOnSurplus();
+		}
+		else if (this.keepAlive && this.requestWritten && this.channel.isActive()) {
 			this.pool.release(this);
 		}
 		else {
@@ -288,3 +313,14 @@
 	}
 
 }
+	@Override
+	public void userEventTriggered(ChannelHandlerContext context, Object event) {
+		if (event == UpstreamResponseDecoder.Surplus.RECEIVED) {
+			closeOnSurplus();
+		}
+		else {
+			context.fireUserEventTriggered(event);
+		}
+	}
+
+		this.reading = false;
--- a/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamPool.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamPool.java
@@ -161,7 +161,7 @@
 		Deque<UpstreamConnection> ofUpstream = this.idle.get(upstreamId);
 		while (ofUpstream != null && !ofUpstream.isEmpty()) {
 			UpstreamConnection connection = ofUpstream.pop();
-			if (connection.usable(this.ticker.nowMs(), MAX_IDLE_MS)) {
+			if (connection.usable(this.ticker.nowMs(), MAX_IDLE_MS) && connection.quiet()) {
 				return connection;
 			}
 			connection.channel().close();
--- a/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamResponseDecoder.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamResponseDecoder.java
@@ -36,6 +36,9 @@
 
 	private boolean bodyless;
 
+	/** Whether a response is expected; bytes that arrive otherwise belong to none. */
+	private boolean expecting = true;
+
 	/**
 	 * Creates a decoder.
 	 * @param config its limits
@@ -51,6 +54,7 @@
 	void expect(boolean bodyless) {
 		this.bodyless = bodyless;
 		this.body = null;
+		this.expecting = true;
 	}
 
 	/**
@@ -68,9 +72,14 @@
 		}
 	}
 
-	/** Records that the response is complete. */
-	void ended() {
+	/**
+	 * Records that the response is complete.
+	 * @return whether no byte has been received after it
+	 */
+	boolean ended() {
 		this.body = null;
+		this.expecting = false;
+		return actualReadableBytes() == 0;
 	}
 
 	@Override
@@ -104,6 +113,10 @@
 
 	@Override
 	protected void decode(ChannelHandlerContext context, ByteBuf in, List<Object> out) throws Exception {
+		if (!this.expecting) {
+			// The beginning of a head would be taken for that of the next response.
+			context.fireUserEventTriggered(Surplus.RECEIVED);
+		}
 		if (!readBody(context, in)) {
 			super.decode(context, in, out);
 		}
@@ -142,4 +155,12 @@
 		}
 	}
 
+	/** The event that bytes were received that belong to no response. */
+	enum Surplus {
+
+		/** The connection can't be used any more. */
+		RECEIVED
+
+	}
+
 }
