An answer without a length needs its whole request written

A write that fails breaks the answer off, and the end of the connection completes an answer without a length only if all of the request was written.

--- a/whinjunction-router/src/main/java/io/whinjunction/router/Attempt.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/Attempt.java
@@ -315,7 +315,7 @@
 		}
 		DefaultFullHttpRequest message = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method,
 				this.session.request().uri(), Unpooled.unreleasableBuffer(body), headers, new DefaultHttpHeaders());
-		this.connection.channel().writeAndFlush(message);
+		this.connection.write(message);
 		this.connection.requestWritten();
 	}
 
@@ -328,8 +328,7 @@
 		}
 		this.connection.channel()
 			.write(new DefaultHttpRequest(HttpVersion.HTTP_1_1, method, this.session.request().uri(), headers));
-		this.connection.channel()
-			.writeAndFlush(new DefaultHttpContent(Unpooled.unreleasableBuffer(this.session.body().buffered())));
+		this.connection.write(new DefaultHttpContent(Unpooled.unreleasableBuffer(this.session.body().buffered())));
 		this.session.caller().reading(true);
 		if (this.session.body().ended()) {
 			sendBodyEnd();
@@ -346,14 +345,14 @@
 			content.release();
 			return;
 		}
-		this.connection.channel().writeAndFlush(new DefaultHttpContent(content));
+		this.connection.write(new DefaultHttpContent(content));
 		onWritable(this.connection.channel().isWritable());
 	}
 
 	/** Completes the body of the request. */
 	void sendBodyEnd() {
 		if (this.sent && !this.ended) {
-			this.connection.channel().writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
+			this.connection.write(LastHttpContent.EMPTY_LAST_CONTENT);
 			this.connection.requestWritten();
 		}
 	}
--- a/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamConnection.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamConnection.java
@@ -1,6 +1,7 @@
 package io.whinjunction.router;
 
 import java.io.IOException;
+import java.nio.channels.ClosedChannelException;
 import java.util.function.Consumer;
 
 import com.google.common.flogger.FluentLogger;
@@ -18,6 +19,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.Future;
 
 /**
  * A connection to an upstream, which carries one request at a time.
@@ -58,6 +60,8 @@
 	private boolean requestWritten;
 
 	private boolean skipping;
+	private final ChannelFutureListener written = this::onWritten;
+
 
 	private boolean headRead;
 
@@ -147,6 +151,26 @@
 	 * all of the request yet, and the kernel would deliver the rest after an orderly
 	 * close.
 	 */
+	/**
+	 * Writes a part of the request.
+	 * @param message the part, whose ownership passes on
+	 */
+	void write(Object message) {
+		this.channel.writeAndFlush(message).addListener(this.written);
+	}
+
+	// The library closes a connection to which it can't write, which would look like the
+	// orderly end of an answer without a length.
+	private void onWritten(Future<?> writing) {
+		if (writing.isSuccess()) {
+			return;
+		}
+		this.requestWritten = false;
+		if (!(writing.cause() instanceof ClosedChannelException)) {
+			fail("the request could not be written: " + writing.cause().getMessage(), true);
+		}
+	}
+
 	void abandon() {
 		this.listener = null;
 		if (!this.headRead && this.channel.isOpen()) {
@@ -250,7 +274,14 @@
 			this.listener.onContent(content.content());
 		}
 		if (last && !this.failed) {
-			end();
+			// An upstream that ends its connection with a part of the request unread
+			// resets it, which a read need not show.
+			if (this.framed || this.requestWritten) {
+				end();
+			}
+			else {
+				fail("the connection ended before the request was written", true);
+			}
 		}
 	}
 
