Bytes without end are cut off, and examined once

Comments and empty lines had no bound, nor had a failure, an answer to another request, what was passed on of a long answer, the rest of a caller's body after its answer, a chunked body over 64 KB, and answers of the store.

What ends like this is logged as event=invalid-answer.

--- a/whinjunction-core/src/main/java/io/whinjunction/http/LibraryCalls.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/http/LibraryCalls.java
@@ -1,5 +1,6 @@
 package io.whinjunction.http;
 
+import java.io.IOException;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -11,6 +12,7 @@
 import org.asynchttpclient.AsyncCompletionHandler;
 import org.asynchttpclient.AsyncHttpClient;
 import org.asynchttpclient.BoundRequestBuilder;
+import org.asynchttpclient.HttpResponseBodyPart;
 import org.asynchttpclient.Response;
 import org.asynchttpclient.netty.request.NettyRequest;
 
@@ -19,6 +21,9 @@
  */
 final class LibraryCalls {
 
+	/** The longest response, which is buffered completely, in bytes. */
+	private static final int MAX_BODY_BYTES = 1 << 23;
+
 	private LibraryCalls() {
 	}
 
@@ -80,6 +85,8 @@
 
 		private final Consumer<CallResult> done;
 
+		private long bodyBytes;
+
 		private final AtomicReference<Fate> state = new AtomicReference<>(Fate.PENDING);
 
 		/**
@@ -90,6 +97,15 @@
 			this.done = done;
 		}
 
+		@Override
+		public State onBodyPartReceived(HttpResponseBodyPart part) throws Exception {
+			this.bodyBytes += part.length();
+			if (this.bodyBytes > MAX_BODY_BYTES) {
+				throw new IOException("a response of more than " + MAX_BODY_BYTES + " bytes");
+			}
+			return super.onBodyPartReceived(part);
+		}
+
 		boolean written() {
 			return this.state.get() == Fate.WRITTEN;
 		}
--- a/whinjunction-core/src/test/java/io/whinjunction/http/HttpCallerTests.java
+++ b/whinjunction-core/src/test/java/io/whinjunction/http/HttpCallerTests.java
@@ -102,6 +102,29 @@
 		}
 	}
 
+	// Guards against an answer without end that fills the memory until the call times
+	// out.
+	@Test
+	void anAnswerWithoutEndIsCutOff() {
+		serve((socket) -> {
+			try {
+				socket.getOutputStream().write("HTTP/1.1 200 OK\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+				byte[] piece = new byte[65_536];
+				while (true) {
+					socket.getOutputStream().write(piece);
+				}
+			}
+			catch (IOException ex) {
+				// The caller closed the connection.
+			}
+		});
+
+		CallResult result = this.caller.call(call(5000, true));
+
+		assertThat(result).isInstanceOfSatisfying(CallResult.Lost.class,
+				(lost) -> assertThat(lost.reason()).contains("more than"));
+	}
+
 	@Test
 	void aCallWithoutAnswerTimesOutAndIsNotWrittenAgain() {
 		serve((socket) -> sleep(5000));
--- a/whinjunction-router/src/main/java/io/whinjunction/router/Attempt.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/Attempt.java
@@ -18,6 +18,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
 import io.whinjunction.availability.UpstreamNotice;
 import io.whinjunction.chain.Hop;
 import io.whinjunction.forward.AttemptOutcome;
@@ -42,6 +43,12 @@
 	 */
 	private static final int MAX_BUFFERED_ANSWER_BYTES = 262_144;
 
+	/**
+	 * The longest answer without success, in bytes: it is buffered, as it may be replaced
+	 * by the answer to another attempt.
+	 */
+	private static final int MAX_FAILURE_BYTES = 1 << 20;
+
 	/**
 	 * How long a request must have produced events before it counts as harmless, in
 	 * milliseconds. A request that crashes an upstream does so in its first steps there.
@@ -97,6 +104,9 @@
 
 	private boolean streaming;
 
+	/** Whether the answer is passed on as it arrives, without events. */
+	private boolean passedOn;
+
 	private boolean detouring;
 
 	private boolean detourRejected;
@@ -563,16 +573,15 @@
 			return;
 		}
 		if (!this.streaming) {
-			if (this.answer.body().readableBytes() + content.readableBytes() > MAX_BUFFERED_ANSWER_BYTES
-					&& this.head.success() && this.head.genuine()) {
-				this.session.onEvents(this.answer, this.answer.body().readBytes(this.answer.body().readableBytes()));
-				this.session.onEvents(this.answer, content.retain());
-				return;
-			}
-			this.answer.body().writeBytes(content);
+			takeWhole(content);
 			return;
 		}
 		ByteBuf events = this.session.events().take(content);
+		if (this.session.events().oversized()) {
+			ReferenceCountUtil.release(events);
+			endInvalid("more than " + EventStream.MAX_EVENT_BYTES + " bytes without the end of an event");
+			return;
+		}
 		if (events != null) {
 			this.progressAtMs = this.session.router().nowMs();
 			if (this.eventBatches == 0) {
@@ -591,6 +600,36 @@
 		}
 	}
 
+	private void takeWhole(ByteBuf content) {
+		ByteBuf body = this.answer.body();
+		boolean passable = this.head.success() && this.head.genuine();
+		int limitBytes = passable ? MAX_BUFFERED_ANSWER_BYTES : MAX_FAILURE_BYTES;
+		if (this.passedOn) {
+			this.session.onEvents(this.answer, content.retain());
+		}
+		else if (body.readableBytes() + content.readableBytes() <= limitBytes) {
+			body.writeBytes(content);
+		}
+		else if (passable) {
+			this.passedOn = true;
+			this.session.onEvents(this.answer, body.copy());
+			body.clear();
+			this.session.onEvents(this.answer, content.retain());
+		}
+		else {
+			endInvalid("a failure of more than " + MAX_FAILURE_BYTES + " bytes");
+		}
+	}
+
+	// What comes next may be without end.
+	private void endInvalid(String reason) {
+		logger.atWarning()
+			.log("event=invalid-answer id=%s upstream=%s reason=\"%s\"", this.session.request().id(),
+					this.target.first().id(), reason);
+		this.connection.abandon();
+		onBroken(reason, false);
+	}
+
 	@Override
 	public void onReadComplete() {
 		if (!this.ended) {
--- a/whinjunction-router/src/main/java/io/whinjunction/router/CallerConnection.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/CallerConnection.java
@@ -32,6 +32,8 @@
 import io.netty.util.ReferenceCountUtil;
 import io.whinjunction.forward.RequestIdentity;
 import io.whinjunction.http.server.RequestHeadValidator;
+import io.whinjunction.routing.CallerLimits;
+import io.whinjunction.routing.RoutingConfiguration;
 
 /**
  * Serves the connection of one caller, or of a peer that has requests of its callers
@@ -64,6 +66,9 @@
 
 	private boolean bodyOpen;
 
+	/** Bytes of the body that were read after the answer. */
+	private long droppedBytes;
+
 	private boolean answered = true;
 
 	private boolean keepAlive = true;
@@ -103,7 +108,9 @@
 
 	@Override
 	public void channelRead(ChannelHandlerContext context, Object message) {
-		this.lastActivityMs = this.router.nowMs();
+		if (!droppingBody()) {
+			this.lastActivityMs = this.router.nowMs();
+		}
 		if (this.closing) {
 			ReferenceCountUtil.release(message);
 			return;
@@ -122,6 +129,11 @@
 		}
 	}
 
+	// The rest of a body whose request was answered may be without end.
+	private boolean droppingBody() {
+		return this.answered && this.bodyOpen;
+	}
+
 	private void process(HttpObject object) {
 		try {
 			if (object instanceof HttpRequest head) {
@@ -139,6 +151,7 @@
 	private void begin(HttpRequest head) {
 		this.answered = false;
 		this.bodyOpen = true;
+		this.droppedBytes = 0;
 		this.headRequest = HttpMethod.HEAD.equals(head.method());
 		this.keepAlive = HttpUtil.isKeepAlive(head);
 		this.knowsChunks = !HttpVersion.HTTP_1_0.equals(head.protocolVersion());
@@ -161,6 +174,11 @@
 		this.session.start();
 	}
 
+	private CallerLimits limits() {
+		RoutingConfiguration configuration = this.router.configuration();
+		return (configuration != null) ? configuration.limits() : CallerLimits.DEFAULT;
+	}
+
 	private void refuseHead(HttpRequest head, String problem) {
 		HttpResponseStatus status = HttpResponseStatus.BAD_REQUEST;
 		if (head.decoderResult().isFailure() && String.valueOf(head.decoderResult().cause()).contains("TooLong")) {
@@ -184,6 +202,14 @@
 		if (this.session != null && content.content().isReadable()) {
 			this.session.onBody(content.content());
 		}
+		else {
+			this.droppedBytes += content.content().readableBytes();
+			if (this.droppedBytes > limits().maxBodyBytes()) {
+				logger.atInfo().log("event=caller-cut reason=endless-body");
+				this.channel.close();
+				return;
+			}
+		}
 		if (content instanceof LastHttpContent) {
 			this.bodyOpen = false;
 			if (this.session != null) {
@@ -414,6 +440,8 @@
 		}
 		this.channel.writeAndFlush(message);
 		this.answered = true;
+		// An attempt may have stopped the reading of the body.
+		reading(true);
 		next();
 	}
 
@@ -424,8 +452,6 @@
 		}
 	}
 
-		// An attempt may have stopped the reading of the body.
-		reading(true);
 	// A request that was queued behind the current one gets its answer before the
 	// connection is closed.
 	private boolean closesForStop() {
--- a/whinjunction-router/src/main/java/io/whinjunction/router/EventStream.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/EventStream.java
@@ -16,10 +16,11 @@
 final class EventStream {
 
 	/**
-	 * A larger event is an error, as it would be buffered here completely; upstreams send
-	 * none that comes near this size.
+	 * Bytes of one event, or of comments and empty lines in a row, from which on the
+	 * stream is invalid: an event is buffered here completely, and upstreams send none
+	 * that comes near this size.
 	 */
-	private static final int MAX_EVENT_BYTES = 1 << 20;
+	static final int MAX_EVENT_BYTES = 1 << 20;
 
 	/** The bytes of {@code id:}. */
 	private static final int ID_FIELD_BYTES = 3;
@@ -35,12 +36,28 @@
 
 	private int events;
 
+	/** How far the incomplete event was examined, from its first byte. */
+	private int examinedBytes;
+
+	/** Where its last, incomplete line begins. */
+	private int lineAt;
+
+	/** Where its id begins, and ends; -1 if it has none yet. */
+	private int idAt = -1;
+
+	private int idEnd;
+
+	/** Whether it has a line that is neither empty nor a comment. */
+	private boolean hasField;
+
+	/** Bytes since the end of the last event that had a field. */
+	private int emptyBytes;
+
 	/**
 	 * Takes in bytes.
 	 * @param content the bytes received
 	 * @return all events that are complete now, owned by the caller, maybe a part of the
 	 * content; {@code null} if there are none
-	 * @throws IllegalStateException if an event is larger than the limit
 	 */
 	ByteBuf take(ByteBuf content) {
 		if (this.pending.isReadable()) {
@@ -52,16 +69,12 @@
 		if (content.isReadable()) {
 			this.pending.writeBytes(content);
 		}
-		if (complete == null) {
-			checkPending();
-		}
 		return complete;
 	}
 
 	private ByteBuf takePending() {
 		int completeBytes = completeBytes(this.pending);
 		if (completeBytes == 0) {
-			checkPending();
 			return null;
 		}
 		ByteBuf complete = Unpooled.copiedBuffer(this.pending.readSlice(completeBytes));
@@ -69,15 +82,28 @@
 		return complete;
 	}
 
-	private void checkPending() {
-		if (this.pending.readableBytes() > MAX_EVENT_BYTES) {
-			throw new IllegalStateException("an event of more than " + MAX_EVENT_BYTES + " bytes");
-		}
+	/**
+	 * Whether the bytes taken in since the last event are too many to belong to a stream
+	 * of events.
+	 * @return whether an event, or what separates two of them, is larger than
+	 * {@link #MAX_EVENT_BYTES}
+	 */
+	boolean oversized() {
+		return this.pending.readableBytes() > MAX_EVENT_BYTES || this.emptyBytes > MAX_EVENT_BYTES;
 	}
 
 	/** Drops the incomplete event, before another upstream resumes the stream. */
 	void dropPartial() {
 		this.pending.clear();
+		beginEvent();
+		this.examinedBytes = 0;
+		this.lineAt = 0;
+		this.emptyBytes = 0;
+	}
+
+	private void beginEvent() {
+		this.idAt = -1;
+		this.hasField = false;
 	}
 
 	/**
@@ -105,29 +131,33 @@
 		return this.events;
 	}
 
+	// Goes on where the last call ended, so that each byte is examined once.
 	private int completeBytes(ByteBuf source) {
-		int end = source.readerIndex();
+		int first = source.readerIndex();
 		int writer = source.writerIndex();
-		int at = end;
-		int idAt = -1;
-		int idEnd = -1;
+		int end = first;
 		int lastIdAt = -1;
 		int lastIdEnd = -1;
-		int lineEnd = source.indexOf(at, writer, (byte) '\n');
+		int at = first + this.lineAt;
+		int lineEnd = source.indexOf(first + this.examinedBytes, writer, (byte) '\n');
 		while (lineEnd >= 0) {
 			int length = lineEnd - at;
 			if (length == 0 || (length == 1 && source.getByte(at) == '\r')) {
+				this.emptyBytes = this.hasField ? 0 : this.emptyBytes + lineEnd + 1 - end;
 				end = lineEnd + 1;
 				this.events++;
-				if (idAt >= 0) {
-					lastIdAt = idAt;
-					lastIdEnd = idEnd;
-					idAt = -1;
+				if (this.idAt >= 0) {
+					lastIdAt = first + this.idAt;
+					lastIdEnd = first + this.idEnd;
 				}
+				beginEvent();
 			}
-			else if (idAt < 0 && isId(source, at, length)) {
-				idAt = at + ID_FIELD_BYTES;
-				idEnd = lineEnd;
+			else {
+				this.hasField |= source.getByte(at) != ':';
+				if (this.idAt < 0 && isId(source, at, length)) {
+					this.idAt = at + ID_FIELD_BYTES - first;
+					this.idEnd = lineEnd - first;
+				}
 			}
 			at = lineEnd + 1;
 			lineEnd = source.indexOf(at, writer, (byte) '\n');
@@ -135,7 +165,12 @@
 		if (lastIdAt >= 0) {
 			recordId(source, lastIdAt, lastIdEnd - lastIdAt);
 		}
-		return end - source.readerIndex();
+		int completeBytes = end - first;
+		this.idAt = (this.idAt >= 0) ? this.idAt - completeBytes : -1;
+		this.idEnd -= completeBytes;
+		this.lineAt = at - end;
+		this.examinedBytes = writer - end;
+		return completeBytes;
 	}
 
 	private static boolean isId(ByteBuf source, int at, int length) {
--- a/whinjunction-router/src/main/java/io/whinjunction/router/ForwardSession.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/ForwardSession.java
@@ -204,11 +204,11 @@
 		if (this.done) {
 			return;
 		}
-		if (this.body.keep(content)) {
+		if (this.body.receivedWith(content) > this.router.configuration().limits().maxBodyBytes()) {
+			onBodyTooLarge();
 			return;
 		}
-		if (this.body.bytesWith(content) > this.router.configuration().limits().maxBodyBytes()) {
-			finish("denied", "too-large", RequestGate.tooLarge());
+		if (this.body.keep(content)) {
 			return;
 		}
 		if (this.body.passThrough()) {
@@ -222,6 +222,16 @@
 		}
 	}
 
+	private void onBodyTooLarge() {
+		if (this.answerBegun) {
+			end("broken", "too-large");
+			this.caller.abort();
+		}
+		else {
+			finish("denied", "too-large", RequestGate.tooLarge());
+		}
+	}
+
 	/**
 	 * Queues a chunk of a streamed body behind those that were read and not sent yet.
 	 * @param content the chunk, owned by the caller of this method
--- a/whinjunction-router/src/main/java/io/whinjunction/router/RequestBody.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/RequestBody.java
@@ -29,6 +29,8 @@
 	// On the heap, so that nothing has to be released.
 	private final ByteBuf buffer = Unpooled.buffer(0);
 
+	private long receivedBytes;
+
 	private boolean ended;
 
 	private boolean passingThrough;
@@ -51,12 +53,13 @@
 	}
 
 	/**
-	 * Returns the length of what is buffered and one more chunk.
+	 * Counts a chunk that was received.
 	 * @param content the chunk
-	 * @return bytes
+	 * @return the length of all chunks so far, in bytes
 	 */
-	long bytesWith(ByteBuf content) {
-		return this.buffer.writerIndex() + (long) content.readableBytes();
+	long receivedWith(ByteBuf content) {
+		this.receivedBytes += content.readableBytes();
+		return this.receivedBytes;
 	}
 
 	/**
@@ -65,7 +68,7 @@
 	 * @return {@code false} if the body has to be streamed
 	 */
 	boolean keep(ByteBuf content) {
-		if (this.passingThrough || bytesWith(content) > this.maxBufferedBytes) {
+		if (this.passingThrough || this.buffer.writerIndex() + content.readableBytes() > this.maxBufferedBytes) {
 			return false;
 		}
 		this.buffer.writeBytes(content);
--- a/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamConnection.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamConnection.java
@@ -40,6 +40,15 @@
 
 	private static final int MAX_HEADER_BYTES = 32_768;
 
+	/**
+	 * Interim responses, and answers to other requests, that are skipped before the
+	 * answer; an upstream that sends more is at fault.
+	 */
+	private static final int MAX_SKIPPED_RESPONSES = 16;
+
+	/** Their bodies together, in bytes. */
+	private static final long MAX_SKIPPED_BYTES = 1 << 20;
+
 	private final UpstreamPool pool;
 
 	private final Upstream upstream;
@@ -51,6 +60,8 @@
 
 	private final Consumer<ByteBuf> chunks = this::readChunk;
 
+	private final ChannelFutureListener written = this::onWritten;
+
 	private Channel channel;
 
 	private UpstreamListener listener;
@@ -60,8 +71,14 @@
 	private boolean requestWritten;
 
 	private boolean skipping;
-	private final ChannelFutureListener written = this::onWritten;
 
+	/** Responses skipped since the request was written, interim ones included. */
+	private int skippedResponses;
+
+	private long skippedBytes;
+
+	/** Whether the connection is being read. */
+	private boolean reading;
 
 	private boolean headRead;
 
@@ -76,14 +93,6 @@
 	private long idleSinceMs;
 
 	UpstreamConnection(UpstreamPool pool, Upstream upstream, Dialect dialect) {
-	/** Responses skipped since the request was written, interim ones included. */
-	private int skippedResponses;
-
-	private long skippedBytes;
-
-	/** Whether the connection is being read. */
-	private boolean reading;
-
 		this.pool = pool;
 		this.upstream = upstream;
 		this.dialect = dialect;
@@ -110,6 +119,15 @@
 		return this.channel.isActive() && nowMs - this.idleSinceMs < limitMs;
 	}
 
+	/**
+	 * Looks whether the idle connection can carry a request: the upstream may have closed
+	 * it, or sent what belongs to no request, and this late event loop has not read it.
+	 * @return {@code false} if it is closed now
+	 */
+	boolean quiet() {
+		return this.reading ? this.channel.isActive() : SocketLook.open(this.channel);
+	}
+
 	void idleSince(long nowMs) {
 		this.idleSinceMs = nowMs;
 	}
@@ -123,34 +141,16 @@
 	void begin(String id, boolean bodyless, UpstreamListener listener) {
 		this.decoder.expect(bodyless);
 		this.requestId = id;
-	/**
-	 * Looks whether the idle connection can carry a request: the upstream may have closed
-	 * it, or sent what belongs to no request, and this late event loop has not read it.
-	 * @return {@code false} if it is closed now
-	 */
-	boolean quiet() {
-		return this.reading ? this.channel.isActive() : SocketLook.open(this.channel);
-	}
-
 		this.listener = listener;
 		this.requestWritten = false;
 		this.skipping = false;
+		this.skippedResponses = 0;
+		this.skippedBytes = 0;
 		this.headRead = false;
 		this.keepAlive = false;
 		this.channel.config().setAutoRead(true);
 	}
 
-	/** Records that the last byte of the request was written. */
-	void requestWritten() {
-		this.requestWritten = true;
-	}
-
-	/**
-	 * Abandons the request: the connection is closed at once to signal the upstream to
-	 * stop. Before the head of the answer it is reset, as the upstream may not have taken
-	 * all of the request yet, and the kernel would deliver the rest after an orderly
-	 * close.
-	 */
 	/**
 	 * Writes a part of the request.
 	 * @param message the part, whose ownership passes on
@@ -171,6 +171,17 @@
 		}
 	}
 
+	/** Records that the last byte of the request was written. */
+	void requestWritten() {
+		this.requestWritten = true;
+	}
+
+	/**
+	 * Abandons the request: the connection is closed at once to signal the upstream to
+	 * stop. Before the head of the answer it is reset, as the upstream may not have taken
+	 * all of the request yet, and the kernel would deliver the rest after an orderly
+	 * close.
+	 */
 	void abandon() {
 		this.listener = null;
 		if (!this.headRead && this.channel.isOpen()) {
@@ -181,6 +192,7 @@
 
 	@Override
 	public void channelRead(ChannelHandlerContext context, Object message) {
+		this.reading = true;
 		try {
 			if (message instanceof HttpObject object) {
 				read(object);
@@ -214,13 +226,16 @@
 	}
 
 	private void closeOnSurplus() {
+		if (!this.channel.isOpen()) {
+			return;
+		}
 		logger.atWarning().log("event=surplus upstream=%s address=%s", this.upstream.id(), this.upstream.address());
 		this.channel.close();
-		this.reading = true;
 	}
 
 	// Data of the answer's body, which the decoder does not wrap into HTTP objects.
 	private void readChunk(ByteBuf content) {
+		this.reading = true;
 		this.pool.heard(this.upstream);
 		if (this.listener == null) {
 			closeOnSurplus();
@@ -241,32 +256,40 @@
 
 	private void readHead(HttpResponse response, UpstreamHead head) {
 		if (head == null) {
-			this.skipping = true;
+			skip();
 			return;
 		}
 		if (!this.requestId.equals(head.requestId())) {
 			logger.atWarning()
 				.log("event=foreign-answer request=%s answers=%s upstream=%s", this.requestId, head.requestId(),
 						this.upstream.id());
-			this.skipping = true;
+			skip();
 			return;
-		if (!this.channel.isOpen()) {
-			return;
-		}
 		}
 		this.skipping = false;
 		this.headRead = true;
 		this.framed = HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response);
 		this.keepAlive = HttpUtil.isKeepAlive(response) && this.framed;
 		this.keepAliveMs = head.keepAliveMs();
-		this.reading = true;
 		this.decoder.passChunks(response, this.chunks);
 		this.listener.onHead(head, response);
 	}
 
+	private void skip() {
+		this.skipping = true;
+		if (++this.skippedResponses > MAX_SKIPPED_RESPONSES) {
+			fail("more than " + MAX_SKIPPED_RESPONSES + " responses that answer no request", false);
+		}
+	}
+
 	private void readContent(HttpContent content) {
 		boolean last = content instanceof LastHttpContent;
 		if (this.skipping || !this.headRead) {
+			this.skippedBytes += content.content().readableBytes();
+			if (this.skippedBytes > MAX_SKIPPED_BYTES) {
+				fail("more than " + MAX_SKIPPED_BYTES + " bytes that answer no request", false);
+				return;
+			}
 			this.skipping = this.skipping && !last;
 			return;
 		}
@@ -305,8 +328,19 @@
 		}
 	}
 
+	@Override
+	public void userEventTriggered(ChannelHandlerContext context, Object event) {
+		if (event == UpstreamResponseDecoder.Surplus.RECEIVED) {
+			closeOnSurplus();
+		}
+		else {
+			context.fireUserEventTriggered(event);
+		}
+	}
+
 	@Override
 	public void channelReadComplete(ChannelHandlerContext context) {
+		this.reading = false;
 		if (this.listener != null) {
 			this.listener.onReadComplete();
 		}
@@ -344,14 +378,3 @@
 	}
 
 }
-	@Override
-	public void userEventTriggered(ChannelHandlerContext context, Object event) {
-		if (event == UpstreamResponseDecoder.Surplus.RECEIVED) {
-			closeOnSurplus();
-		}
-		else {
-			context.fireUserEventTriggered(event);
-		}
-	}
-
-		this.reading = false;
--- a/whinjunction-router/src/test/java/io/whinjunction/router/EventStreamTests.java
+++ b/whinjunction-router/src/test/java/io/whinjunction/router/EventStreamTests.java
@@ -1,6 +1,7 @@
 package io.whinjunction.router;
 
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.Random;
 
 import io.netty.buffer.ByteBuf;
@@ -8,6 +9,8 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -45,6 +48,35 @@
 		assertThat(split.partial()).isFalse();
 	}
 
+	// Guards against bytes without the end of an event that block the event loop, as all
+	// that is kept was examined again with each piece.
+	@Test
+	void bytesWithoutTheEndOfAnEventAreExaminedOnce() {
+		String piece = "data: " + "x".repeat(20) + "\n";
+
+		long startedNs = System.nanoTime();
+		for (int bytes = 0; bytes <= EventStream.MAX_EVENT_BYTES; bytes += piece.length()) {
+			take(this.stream, piece);
+		}
+
+		assertThat(this.stream.oversized()).isTrue();
+		assertThat(Duration.ofNanos(System.nanoTime() - startedNs)).isLessThan(Duration.ofMillis(500));
+	}
+
+	// Guards against a stream that holds nothing and never ends.
+	@ParameterizedTest
+	@ValueSource(strings = { ": comment\n\n", "\n", "\r\n" })
+	void commentsAndEmptyLinesWithoutEndAreOversized(String piece) {
+		for (int bytes = 0; bytes <= EventStream.MAX_EVENT_BYTES; bytes += piece.length()) {
+			assertThat(this.stream.oversized()).isFalse();
+			take(this.stream, piece);
+		}
+
+		assertThat(this.stream.oversized()).isTrue();
+		take(this.stream, "data: a\n\n");
+		assertThat(this.stream.oversized()).isFalse();
+	}
+
 	// Guards against a caller that receives part of a line twice: the upstream stopped
 	// within an event whose beginning had already been passed on, and the next upstream
 	// sent the event again.
