A service's long answer passes through the entry again

The bound belongs to who makes the calls: 8 MB for the store and status queries, 64 MB for answers that are passed on.

--- a/whinjunction-core/src/main/java/io/whinjunction/http/AsyncCaller.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/http/AsyncCaller.java
@@ -47,6 +47,11 @@
 	/** Shorter than the time for which middleboxes track idle connections. */
 	private static final int IDLE_CONNECTION_MS = 10_000;
 
+	/**
+	 * The longest answer of a store or an upstream to a call of this process, in bytes.
+	 */
+	private static final long MAX_BODY_BYTES = 1 << 23;
+
 	/** No result depends on the library's timer, so a long tick saves wake-ups. */
 	private static final long TICK_MS = 1000;
 
@@ -92,7 +97,8 @@
 		int epoch = this.epochs.getOrDefault(call.address(), 0);
 		ListenableFuture<Response> future = LibraryCalls
 			.request(this.client, call, epoch, Duration.ofMillis(call.timeoutMs() + LIBRARY_SLACK_MS))
-			.execute(new LibraryCalls.Observer((result) -> this.loop.execute(() -> pending.complete(result))));
+			.execute(new LibraryCalls.Observer(MAX_BODY_BYTES,
+					(result) -> this.loop.execute(() -> pending.complete(result))));
 		pending.startTimeout(future);
 	}
 
--- a/whinjunction-core/src/main/java/io/whinjunction/http/HttpCaller.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/http/HttpCaller.java
@@ -32,6 +32,9 @@
 	 */
 	private static final long LIBRARY_SLACK_MS = 60_000;
 
+	/** The longest answer of a service, which is passed on as a whole, in bytes. */
+	private static final long MAX_BODY_BYTES = 1 << 26;
+
 	private final Ticker ticker = Ticker.system();
 
 	private final AsyncHttpClient client;
@@ -70,7 +73,7 @@
 	public CallResult call(Call call) {
 		// The result is taken from the future; the observer only tracks whether the
 		// request was written.
-		LibraryCalls.Observer observer = new LibraryCalls.Observer((result) -> {
+		LibraryCalls.Observer observer = new LibraryCalls.Observer(MAX_BODY_BYTES, (result) -> {
 		});
 		ListenableFuture<Response> future = null;
 		try {
--- a/whinjunction-core/src/main/java/io/whinjunction/http/LibraryCalls.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/http/LibraryCalls.java
@@ -21,9 +21,6 @@
  */
 final class LibraryCalls {
 
-	/** The longest response, which is buffered completely, in bytes. */
-	private static final int MAX_BODY_BYTES = 1 << 23;
-
 	private LibraryCalls() {
 	}
 
@@ -85,23 +82,28 @@
 
 		private final Consumer<CallResult> done;
 
+		private final long maxBodyBytes;
+
 		private long bodyBytes;
 
 		private final AtomicReference<Fate> state = new AtomicReference<>(Fate.PENDING);
 
 		/**
 		 * Creates an observer.
+		 * @param maxBodyBytes the longest response, which is buffered completely, in
+		 * bytes
 		 * @param done receives the result; may be called on a thread of the library
 		 */
-		Observer(Consumer<CallResult> done) {
+		Observer(long maxBodyBytes, Consumer<CallResult> done) {
+			this.maxBodyBytes = maxBodyBytes;
 			this.done = done;
 		}
 
 		@Override
 		public State onBodyPartReceived(HttpResponseBodyPart part) throws Exception {
 			this.bodyBytes += part.length();
-			if (this.bodyBytes > MAX_BODY_BYTES) {
-				throw new IOException("a response of more than " + MAX_BODY_BYTES + " bytes");
+			if (this.bodyBytes > this.maxBodyBytes) {
+				throw new IOException("a response of more than " + this.maxBodyBytes + " bytes");
 			}
 			return super.onBodyPartReceived(part);
 		}
--- a/whinjunction-core/src/test/java/io/whinjunction/http/HttpCallerTests.java
+++ b/whinjunction-core/src/test/java/io/whinjunction/http/HttpCallerTests.java
@@ -29,6 +29,8 @@
  */
 class HttpCallerTests {
 
+	private static final long MAX_BODY_BYTES = 1024;
+
 	private final AtomicInteger requests = new AtomicInteger();
 
 	private final HttpCaller caller = new HttpCaller(1000, 10_000);
@@ -64,7 +66,7 @@
 	// longer be written.
 	@Test
 	void aCallReportedAsNotSentIsNeverWritten() {
-		LibraryCalls.Observer observer = new LibraryCalls.Observer((result) -> {
+		LibraryCalls.Observer observer = new LibraryCalls.Observer(MAX_BODY_BYTES, (result) -> {
 		});
 
 		assertThat(observer.lost("no answer in 200 ms", true)).isInstanceOf(CallResult.NotSent.class);
@@ -74,7 +76,7 @@
 
 	@Test
 	void aWrittenCallIsNotReportedAsNotSent() {
-		LibraryCalls.Observer observer = new LibraryCalls.Observer((result) -> {
+		LibraryCalls.Observer observer = new LibraryCalls.Observer(MAX_BODY_BYTES, (result) -> {
 		});
 
 		observer.onRequestSend(null);
@@ -88,7 +90,7 @@
 	void theLibraryDropsACallAbandonedBeforeItWasWritten() throws Exception {
 		serve((socket) -> sleep(100));
 		try (AsyncHttpClient client = Dsl.asyncHttpClient()) {
-			LibraryCalls.Observer observer = new LibraryCalls.Observer((result) -> {
+			LibraryCalls.Observer observer = new LibraryCalls.Observer(MAX_BODY_BYTES, (result) -> {
 			});
 			observer.lost("abandoned", true);
 
