The event stream's safeguard is tried with lines and with a part of one

The test has a case without the end of a line now, and the row makes the stream begin anew with each piece, which the test has to notice.

--- a/whinjunction-router/src/test/java/io/whinjunction/router/EventStreamTests.java
+++ b/whinjunction-router/src/test/java/io/whinjunction/router/EventStreamTests.java
@@ -50,10 +50,9 @@
 
 	// Guards against bytes without the end of an event that block the event loop, as all
 	// that is kept was examined again with each piece.
-	@Test
-	void bytesWithoutTheEndOfAnEventAreExaminedOnce() {
-		String piece = "data: " + "x".repeat(20) + "\n";
-
+	@ParameterizedTest
+	@ValueSource(strings = { "data: a line of an event\n", "a part of a line of an event" })
+	void bytesWithoutTheEndOfAnEventAreExaminedOnce(String piece) {
 		long startedNs = System.nanoTime();
 		for (int bytes = 0; bytes <= EventStream.MAX_EVENT_BYTES; bytes += piece.length()) {
 			take(this.stream, piece);
