--- a/whinjunction-core/src/test/java/io/whinjunction/http/HttpCallerTests.java
+++ b/whinjunction-core/src/test/java/io/whinjunction/http/HttpCallerTests.java
@@ -19,7 +19,10 @@
 import org.asynchttpclient.Response;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
@@ -181,6 +184,48 @@
 		assertThat(connections).hasValue(2);
 	}
 
+	// Guards against an order or a write that counts as done although it was rejected:
+	// the beginning of another answer was read as that of the next one.
+	@Tag("known-red")
+	@ParameterizedTest
+	@ValueSource(strings = { "HTTP/1.1 200 ", "HTTP/1.1 200 OK", "HTTP/1.1 200 OK\r\nX-Field: ",
+			"HTTP/1.1 200 OK\r\nX-Field: value\r\n ", "HTTP/1.1 100 Continue\r\nX-Field: " })
+	void theBeginningOfASurplusAnswerIsNotThatOfTheNextOne(String beginning) {
+		AtomicInteger connections = new AtomicInteger();
+		serve((socket) -> {
+			int number = connections.incrementAndGet();
+			answer(socket, (number > 1) ? "HTTP/1.1 409 Conflict\r\ncontent-length: 0\r\n\r\n"
+					: "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok" + beginning);
+			if (number == 1) {
+				readCall(socket);
+				answer(socket, "HTTP/1.1 409 Conflict\r\ncontent-length: 0\r\n\r\n");
+				sleep(1000);
+			}
+		});
+
+		assertThat(statusOf(this.caller.call(call(2000, false)))).isEqualTo(200);
+		sleep(50);
+		assertThat(statusOf(this.caller.call(call(2000, false)))).isNotEqualTo(200);
+	}
+
+	// Guards against the same where the beginning arrives after the call was written.
+	@Tag("known-red")
+	@ParameterizedTest
+	@ValueSource(strings = { "HTTP/1.1 200 ", "HTTP/1.1 200 OK", "HTTP/1.1 200 OK\r\nX-Field: ",
+			"HTTP/1.1 200 OK\r\nX-Field: value\r\n ", "HTTP/1.1 100 Continue\r\nX-Field: " })
+	void theBeginningOfALateAnswerIsNotThatOfTheNextOne(String beginning) {
+		serve((socket) -> {
+			answer(socket, beginning + "HTTP/1.1 409 Conflict\r\ncontent-length: 0\r\n\r\n");
+			sleep(1000);
+		});
+
+		assertThat(statusOf(this.caller.call(call(2000, false)))).isNotEqualTo(200);
+	}
+
+	private static int statusOf(CallResult result) {
+		return (result instanceof CallResult.Response response) ? response.status() : -1;
+	}
+
 	// A middlebox drops the state of all open connections; new ones work. Each pooled one
 	// would cost a full timeout, one after the other. After the first timeout the other
 	// pooled ones must not be tried.
@@ -242,21 +287,33 @@
 
 	private void serveOne(Socket socket, Consumer<Socket> answer) {
 		try (socket) {
-			byte[] buffer = new byte[4096];
-			int length = 0;
+			if (readCall(socket)) {
+				this.requests.incrementAndGet();
+				answer.accept(socket);
+			}
+		}
+		catch (IOException | UncheckedIOException ex) {
+			// The test has ended, or the caller closed the connection.
+		}
+	}
+
+	// Returns false if the connection ended before a call was complete.
+	private static boolean readCall(Socket socket) {
+		byte[] buffer = new byte[4096];
+		int length = 0;
+		try {
 			while (length < 3 || !endsWithBody(buffer, length)) {
 				int read = socket.getInputStream().read(buffer, length, buffer.length - length);
 				if (read < 0) {
-					return;
+					return false;
 				}
 				length += read;
 			}
-			this.requests.incrementAndGet();
-			answer.accept(socket);
 		}
 		catch (IOException ex) {
-			// The test has ended.
+			throw new UncheckedIOException(ex);
 		}
+		return true;
 	}
 
 	private static boolean endsWithBody(byte[] buffer, int length) {
