A response head in which another head begins is no answer

Cause: nothing separates two answers on a connection but the state of the decoder. The look at an idle connection can't see bytes that arrive after the request was written; the decoder reads the true head as the rest of the torn one, so that the status is that of the torn head and id, proof and body are the true ones. A torn foreign answer without an end, one torn in its trailers and a status 101 swallowed the true answer until the deadline.

Fix: the true status line is always among the bytes that were added to the torn line, as a part of a reason phrase or of the value of a field, folded or not, also of a trailer, or it is read as a field whose name has a slash. So a head or trailer whose text contains a status line is rejected, as is one whose version isn't HTTP/1.0 or 1.1, and one with two lengths, two framings, two ids or two proofs. The attempt counts as one that may have run, its connection is closed. A foreign answer that ends with the connection is rejected at once.

--- /dev/null
+++ b/whinjunction-core/src/main/java/io/whinjunction/http/ResponseHeadValidator.java
@@ -0,0 +1,100 @@
+package io.whinjunction.http;
+
+import java.util.Collection;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.regex.Pattern;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+
+/**
+ * Checks whether the head of a response is that of one response.
+ * <p>
+ * Guards against an upstream that sends a part of another response before the expected
+ * one: the bytes of both are then read as one head, with the status of the first and the
+ * remaining fields of the second. A head that contains a status line after its first
+ * bytes, or gives a field twice that decides where the body ends or which request is
+ * answered, is rejected. Stateless.
+ */
+public final class ResponseHeadValidator {
+
+	private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d+\\.\\d+[ \t]+\\d{3}([ \t]|$)",
+			Pattern.CASE_INSENSITIVE);
+
+	private ResponseHeadValidator() {
+	}
+
+	/**
+	 * Validates a head.
+	 * @param head the head as decoded by the HTTP library
+	 * @param singleHeaders the names of headers that may be given once at most, besides
+	 * those of the framing
+	 * @return the problem, or empty if the head is valid
+	 */
+	public static Optional<String> problem(HttpResponse head, Collection<String> singleHeaders) {
+		if (head.decoderResult().isFailure()) {
+			return Optional.of(String.valueOf(head.decoderResult().cause().getMessage()));
+		}
+		if (!HttpVersion.HTTP_1_1.equals(head.protocolVersion())
+				&& !HttpVersion.HTTP_1_0.equals(head.protocolVersion())) {
+			return Optional.of("protocol version " + head.protocolVersion() + " is not HTTP/1.0 or HTTP/1.1");
+		}
+		if (HttpResponseStatus.SWITCHING_PROTOCOLS.equals(head.status())) {
+			return Optional.of("status 101 without a request for another protocol");
+		}
+		if (containsStatusLine(head.status().reasonPhrase())) {
+			return Optional.of("the reason phrase contains a status line");
+		}
+		Optional<String> field = problem(head.headers());
+		return field.isPresent() ? field
+				: problemOfFraming(head.headers()).or(() -> singleHeaders.stream()
+					.filter((name) -> head.headers().getAll(name).size() > 1)
+					.findFirst()
+					.map((name) -> "more than one " + name));
+	}
+
+	/**
+	 * Validates fields, which may also be those after a chunked body.
+	 * @param fields the fields
+	 * @return the problem, or empty if the fields are valid
+	 */
+	public static Optional<String> problem(HttpHeaders fields) {
+		for (Iterator<Map.Entry<String, String>> all = fields.iteratorAsString(); all.hasNext();) {
+			Map.Entry<String, String> field = all.next();
+			if (containsStatusLine(field.getValue())) {
+				return Optional.of("the value of " + field.getKey() + " contains a status line");
+			}
+		}
+		return Optional.empty();
+	}
+
+	private static Optional<String> problemOfFraming(HttpHeaders headers) {
+		List<String> codings = headers.getAll(HttpHeaderNames.TRANSFER_ENCODING);
+		int lengths = headers.getAll(HttpHeaderNames.CONTENT_LENGTH).size();
+		if (lengths > 1) {
+			return Optional.of("more than one content-length");
+		}
+		if (codings.isEmpty()) {
+			return Optional.empty();
+		}
+		if (lengths > 0) {
+			return Optional.of("both content-length and transfer-encoding");
+		}
+		if (codings.size() > 1 || !HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(codings.getFirst())) {
+			return Optional.of("transfer-encoding \"" + String.join(", ", codings) + "\" is not chunked");
+		}
+		return Optional.empty();
+	}
+
+	private static boolean containsStatusLine(String text) {
+		return text.indexOf('/') >= 0 && STATUS_LINE.matcher(text).find();
+	}
+
+}
--- a/whinjunction-router/src/main/java/io/whinjunction/router/Dialect.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/Dialect.java
@@ -1,5 +1,7 @@
 package io.whinjunction.router;
 
+import java.util.List;
+
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
@@ -41,6 +43,13 @@
 	 */
 	UpstreamHead upstreamHead(HttpResponse head);
 
+	/**
+	 * Returns the headers of an upstream's response of which a second one would make it
+	 * ambiguous what it answers.
+	 * @return their names
+	 */
+	List<String> singleResponseHeaders();
+
 	/**
 	 * Adds the id of the request to an answer that the router itself generates.
 	 * @param headers the answer's headers
--- a/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamConnection.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamConnection.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.nio.channels.ClosedChannelException;
+import java.util.Optional;
 import java.util.function.Consumer;
 
 import com.google.common.flogger.FluentLogger;
@@ -20,6 +21,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
+import io.whinjunction.http.ResponseHeadValidator;
 
 /**
  * A connection to an upstream, which carries one request at a time.
@@ -204,8 +206,9 @@
 	}
 
 	private void read(HttpObject object) {
-		if (object.decoderResult().isFailure()) {
-			fail("invalid response: " + object.decoderResult().cause().getMessage(), false);
+		Optional<String> problem = problem(object);
+		if (problem.isPresent()) {
+			onInvalid(problem.get());
 			return;
 		}
 		// The end of a body may be derived from the end of the connection.
@@ -225,6 +228,26 @@
 		}
 	}
 
+	private Optional<String> problem(HttpObject object) {
+		if (object.decoderResult().isFailure()) {
+			return Optional.of(String.valueOf(object.decoderResult().cause().getMessage()));
+		}
+		if (object instanceof HttpResponse response) {
+			return ResponseHeadValidator.problem(response, this.dialect.singleResponseHeaders());
+		}
+		return (object instanceof LastHttpContent end) ? ResponseHeadValidator.problem(end.trailingHeaders())
+				: Optional.empty();
+	}
+
+	private void onInvalid(String problem) {
+		if (this.listener != null) {
+			logger.atWarning()
+				.log("event=invalid-response request=%s upstream=%s reason=\"%s\"", this.requestId, this.upstream.id(),
+						problem);
+		}
+		fail("invalid response: " + problem, false);
+	}
+
 	private void closeOnSurplus() {
 		if (!this.channel.isOpen()) {
 			return;
@@ -259,16 +282,21 @@
 			skip();
 			return;
 		}
+		this.framed = HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response);
 		if (!this.requestId.equals(head.requestId())) {
 			logger.atWarning()
 				.log("event=foreign-answer request=%s answers=%s upstream=%s", this.requestId, head.requestId(),
 						this.upstream.id());
-			skip();
+			if (this.framed || this.decoder.endsWithHead(response)) {
+				skip();
+			}
+			else {
+				onInvalid("the answer to another request, which ends with the connection");
+			}
 			return;
 		}
 		this.skipping = false;
 		this.headRead = true;
-		this.framed = HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response);
 		this.keepAlive = HttpUtil.isKeepAlive(response) && this.framed;
 		this.keepAliveMs = head.keepAliveMs();
 		this.decoder.passChunks(response, this.chunks);
--- a/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamResponseDecoder.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamResponseDecoder.java
@@ -72,6 +72,15 @@
 		}
 	}
 
+	/**
+	 * Whether a response has no body.
+	 * @param head the head of the response
+	 * @return {@code true} if the next byte does not belong to it
+	 */
+	boolean endsWithHead(HttpResponse head) {
+		return isContentAlwaysEmpty(head);
+	}
+
 	/**
 	 * Records that the response is complete.
 	 * @return whether no byte has been received after it
