An answer without a length is whole only if no reset follows its end

Cause: such a server's library shuts the output down first, so that the orderly end comes before the reset. The whole request lies in this machine's kernel, so that no write fails, and after the end a read shows nothing more.

Fix: the socket of such an answer stays open after its end, and is looked at twice, 5 and 10 ms later. A selector reports a connected channel as ready to complete its connection only for a pending error, which a reset after the end is; nothing is written for the look. The caller sees the end of the answer after the looks only. An upstream that crashes ends in order those connections whose request it has read, and resets the others: an answer that ended as its upstream reset another one within its answer is broken off too.

Weighed: an empty line as a probe (a client must not send one after a request); a native transport (a larger process); a longer wait (each answer without a length pays it).

--- a/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamConnection.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamConnection.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.channels.ClosedChannelException;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 import com.google.common.flogger.FluentLogger;
@@ -48,6 +49,16 @@
 	 */
 	private static final int MAX_SKIPPED_RESPONSES = 16;
 
+	/**
+	 * Looks for a reset after the end of an answer that ends with its connection, which
+	 * follows right after that end. The last look sees what the first ones of other
+	 * answers found.
+	 */
+	private static final int RESET_LOOKS = 2;
+
+	/** The time between them, in milliseconds. */
+	private static final long RESET_LOOK_INTERVAL_MS = 5;
+
 	/** Their bodies together, in bytes. */
 	private static final long MAX_SKIPPED_BYTES = 1 << 20;
 
@@ -86,6 +97,8 @@
 
 	private boolean framed;
 
+	private boolean bodyless;
+
 	private boolean keepAlive;
 
 	private boolean failed;
@@ -297,6 +310,9 @@
 		}
 		this.skipping = false;
 		this.headRead = true;
+		this.bodyless = this.decoder.endsWithHead(response);
+		// The socket stays open after its end was read, to see a reset that follows.
+		this.channel.config().setOption(ChannelOption.ALLOW_HALF_CLOSURE, !this.framed);
 		this.keepAlive = HttpUtil.isKeepAlive(response) && this.framed;
 		this.keepAliveMs = head.keepAliveMs();
 		this.decoder.passChunks(response, this.chunks);
@@ -325,17 +341,44 @@
 			this.listener.onContent(content.content());
 		}
 		if (last && !this.failed) {
-			// An upstream that ends its connection with a part of the request unread
-			// resets it, which a read need not show.
-			if (this.framed || this.requestWritten) {
+			if (this.framed || this.bodyless) {
 				end();
 			}
 			else {
-				fail("the connection ended before the request was written", true);
+				awaitReset(RESET_LOOKS);
 			}
 		}
 	}
 
+	private void awaitReset(int looks) {
+		this.channel.eventLoop().schedule(() -> endUnlessReset(looks), RESET_LOOK_INTERVAL_MS, TimeUnit.MILLISECONDS);
+	}
+
+	// An upstream that closes its connection with a part of the request unread resets it,
+	// maybe after an orderly end. One that crashes ends all its connections at once: in
+	// order those whose request it has read.
+	private void endUnlessReset(int looks) {
+		if (this.listener == null) {
+			return;
+		}
+		if (!this.requestWritten) {
+			fail("the connection ended before the request was written", true);
+		}
+		else if (((UpstreamSocket) this.channel).wasReset()) {
+			this.pool.brokeOff(this.upstream);
+			fail("connection reset after the end of the answer", true);
+		}
+		else if (this.pool.brokeOffWithin(this.upstream, (RESET_LOOKS + 1) * RESET_LOOK_INTERVAL_MS)) {
+			fail("the upstream broke off another answer as this one ended", true);
+		}
+		else if (looks > 1) {
+			awaitReset(looks - 1);
+		}
+		else {
+			end();
+		}
+	}
+
 	private void end() {
 		UpstreamListener ended = this.listener;
 		this.listener = null;
@@ -385,6 +428,9 @@
 	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
 		// A reset also ends a body without a length, which must not look complete.
 		this.failed = true;
+		if (this.listener != null && this.headRead && cause instanceof IOException) {
+			this.pool.brokeOff(this.upstream);
+		}
 		fail("connection failed: " + cause.getMessage(), cause instanceof IOException);
 	}
 
--- a/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamPool.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamPool.java
@@ -15,7 +15,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioChannelOption;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.whinjunction.time.Ticker;
 import jdk.net.ExtendedSocketOptions;
@@ -62,6 +61,9 @@
 
 	private final Map<String, Deque<UpstreamConnection>> idle = new HashMap<>();
 
+	/** When an upstream last reset a connection within an answer, in milliseconds. */
+	private final Map<String, Long> brokeOffAtMs = new HashMap<>();
+
 	/**
 	 * Creates an empty pool.
 	 * @param loop the event loop of all connections
@@ -73,7 +75,7 @@
 	UpstreamPool(EventLoop loop, Dialect dialect, Ticker ticker, UpstreamAvailability availability,
 			ReachabilityMonitor reachability) {
 		this.connecting = new Bootstrap().group(loop)
-			.channelFactory(NioSocketChannel::new)
+			.channelFactory(UpstreamSocket::new)
 			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
 			.option(ChannelOption.TCP_NODELAY, true)
 			.option(ChannelOption.SO_KEEPALIVE, true)
@@ -123,6 +125,25 @@
 		this.reachability.heard(upstream);
 	}
 
+	/**
+	 * Records that an upstream reset a connection within an answer, as a crash does.
+	 * @param upstream the upstream
+	 */
+	void brokeOff(Upstream upstream) {
+		this.brokeOffAtMs.put(upstream.incarnation(), this.ticker.nowMs());
+	}
+
+	/**
+	 * Whether an upstream broke off an answer lately.
+	 * @param upstream the upstream
+	 * @param durationMs how far back, in milliseconds
+	 * @return whether it did within that time
+	 */
+	boolean brokeOffWithin(Upstream upstream, long durationMs) {
+		Long atMs = this.brokeOffAtMs.get(upstream.incarnation());
+		return atMs != null && this.ticker.nowMs() - atMs <= durationMs;
+	}
+
 	void release(UpstreamConnection connection) {
 		connection.idleSince(this.ticker.nowMs());
 		this.idle.computeIfAbsent(connection.upstream().incarnation(), (id) -> new ArrayDeque<>()).push(connection);
@@ -155,6 +176,7 @@
 			}
 		}
 		this.idle.values().removeIf(Deque::isEmpty);
+		this.brokeOffAtMs.values().removeIf((atMs) -> nowMs - atMs > MAX_IDLE_MS);
 	}
 
 	private UpstreamConnection poll(String upstreamId) {
