Only the current request stops the reading of its caller

What callers saw: a server resets its connection within a long body; the request gets its 502, and the next request on the kept connection is never read, until the connection is closed as idle.

Cause: the reading of the body was turned on and off by four places. A write to the reset connection ends the request, which turns reading on; the attempt that wrote goes on and turns it off again, as its connection takes no more bytes.

Fix: the caller's connection heeds only the request that is its current one. After its end nobody but the connection itself changes the reading.

--- a/whinjunction-router/src/main/java/io/whinjunction/router/Attempt.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/Attempt.java
@@ -339,7 +339,7 @@
 		this.connection.channel()
 			.write(new DefaultHttpRequest(HttpVersion.HTTP_1_1, method, this.session.request().uri(), headers));
 		this.connection.write(new DefaultHttpContent(Unpooled.unreleasableBuffer(this.session.body().buffered())));
-		this.session.caller().reading(true);
+		this.session.readBody(true);
 		if (this.session.body().ended()) {
 			sendBodyEnd();
 		}
@@ -779,7 +779,7 @@
 	@Override
 	public void onWritable(boolean writable) {
 		if (this.session.body().passingThrough() && !this.session.body().ended()) {
-			this.session.caller().reading(writable);
+			this.session.readBody(writable);
 		}
 	}
 
--- a/whinjunction-router/src/main/java/io/whinjunction/router/CallerConnection.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/CallerConnection.java
@@ -340,11 +340,16 @@
 	}
 
 	/**
-	 * Turns reading from the caller on or off.
+	 * Turns reading from the caller on or off for a request. Only the current one is
+	 * heeded, and reading is on again after its end: an attempt may learn of that end
+	 * later.
+	 * @param request the request whose body is read
 	 * @param reading whether to read
 	 */
-	void reading(boolean reading) {
-		this.channel.config().setAutoRead(reading);
+	void reading(ForwardSession request, boolean reading) {
+		if (request == this.session) {
+			this.channel.config().setAutoRead(reading);
+		}
 	}
 
 	/**
@@ -440,8 +445,8 @@
 		}
 		this.channel.writeAndFlush(message);
 		this.answered = true;
-		// An attempt may have stopped the reading of the body.
-		reading(true);
+		// The request may have stopped the reading of its body.
+		this.channel.config().setAutoRead(true);
 		next();
 	}
 
--- a/whinjunction-router/src/main/java/io/whinjunction/router/ForwardSession.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/ForwardSession.java
@@ -238,7 +238,15 @@
 	 */
 	void holdBody(ByteBuf content) {
 		this.body.hold(content);
-		this.caller.reading(false);
+		readBody(false);
+	}
+
+	/**
+	 * Turns reading the body from the caller on or off.
+	 * @param reading whether to read
+	 */
+	void readBody(boolean reading) {
+		this.caller.reading(this, reading);
 	}
 
 	/** Handles the end of the body. */
