A stopping router delivers the answers that its callers have not read yet

Cause: a connection without a current request counts as idle, and was closed with what was still to be written.

Evidence: anAnswerThatTheCallerHasNotReadIsDelivered failed with 200,000 bytes before.

--- a/whinjunction-router/src/main/java/io/whinjunction/router/CallerConnection.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/CallerConnection.java
@@ -13,6 +13,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -321,9 +322,7 @@
 			// The orderly end of the connection would complete the answer.
 			this.channel.config().setOption(ChannelOption.SO_LINGER, 0);
 		}
-		// Closes only after all that was written is sent, so that the caller gets all of
-		// it.
-		this.channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+		closeAfterWrites();
 	}
 
 	boolean writable() {
@@ -366,21 +365,32 @@
 
 	/**
 	 * Closes the connection if no request is in progress on it, as this process is
-	 * stopping.
+	 * stopping; what was answered is delivered first.
 	 */
 	void closeIfIdle() {
-		if (this.answered && !this.bodyOpen) {
-			this.channel.close();
+		if (this.answered && !this.bodyOpen && !this.closing) {
+			this.closing = true;
+			closeAfterWrites();
 		}
 	}
 
+	private void closeAfterWrites() {
+		this.channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+	}
+
 	/**
 	 * Ends the current request as this process exits: the caller gets an answer, or an
 	 * answer that has begun is visibly cut.
 	 * @return whether an answer was cut
 	 */
 	boolean onRouterExit() {
-		return this.session != null && this.session.onRouterExit();
+		boolean undelivered = unwrittenBytes() > 0;
+		return (this.session != null) ? this.session.onRouterExit() : undelivered;
+	}
+
+	private long unwrittenBytes() {
+		ChannelOutboundBuffer unwritten = this.channel.unsafe().outboundBuffer();
+		return (unwritten != null) ? unwritten.totalPendingWriteBytes() : 0;
 	}
 
 	/**
