A turn of the event loop reads one buffer of each connection

What was seen: ten upstreams that send chunks of one byte without end keep the router from anything else for 268 ms at a time, with an extension at each chunk for 442 ms; on a fraction of a core several times that. Confirmations of other services wait.

Cause: a turn read up to sixteen buffers of 64 KB of each connection, and each chunk in them cost a pass through the whole pipeline to the caller.

--- a/whinjunction-core/src/main/java/io/whinjunction/http/AsyncCaller.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/http/AsyncCaller.java
@@ -14,6 +14,7 @@
 import javax.net.ssl.SSLEngine;
 
 import com.google.common.flogger.FluentLogger;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.util.HashedWheelTimer;
@@ -83,6 +84,7 @@
 			.setFollowRedirect(false)
 			.setKeepAlive(true)
 			.setUseProxySelector(false)
+			.addChannelOption(ChannelOption.RCVBUF_ALLOCATOR, BoundedReads.allocator())
 			.setHttpAdditionalChannelInitializer(ResponseGuard::install)
 			.setSslEngineFactory(AsyncCaller::noTls)
 			.build());
--- a/whinjunction-router/src/main/java/io/whinjunction/router/Router.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/Router.java
@@ -26,6 +26,7 @@
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.whinjunction.forward.FleetRetryBudget;
+import io.whinjunction.http.BoundedReads;
 import io.whinjunction.http.server.StrictRequestDecoder;
 import io.whinjunction.proof.ConfigurationProof;
 import io.whinjunction.reachability.Reachability;
@@ -352,6 +353,7 @@
 		};
 		return new ServerBootstrap().group(this.loop)
 			.childOption(ChannelOption.TCP_NODELAY, true)
+			.childOption(ChannelOption.RCVBUF_ALLOCATOR, BoundedReads.allocator())
 			.childOption(ChannelOption.SO_KEEPALIVE, true)
 			.childHandler(children);
 	}
--- a/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamPool.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamPool.java
@@ -16,6 +16,7 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.whinjunction.http.BoundedReads;
 import io.whinjunction.time.Ticker;
 import jdk.net.ExtendedSocketOptions;
 
@@ -78,6 +79,7 @@
 			.channelFactory(UpstreamSocket::new)
 			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
 			.option(ChannelOption.TCP_NODELAY, true)
+			.option(ChannelOption.RCVBUF_ALLOCATOR, BoundedReads.allocator())
 			.option(ChannelOption.SO_KEEPALIVE, true)
 			.option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEPALIVE_SECONDS)
 			.option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), KEEPALIVE_SECONDS)
