A process that has just started spends half of its share of the repeat budget's slack

Cause: each process has a whole share of the slack when it starts, though its predecessor may have spent one within the same window. The shares leave room for half as many routers again as are known, not for as many again.

Fix: for a window after its start a process has half of its share, so that whole shares of the predecessors and these make up the slack, and no more. It still repeats by the ratio and borrows from others. A process that starts twice within a window may still exceed it.

--- a/whinjunction-core/src/main/java/io/whinjunction/forward/FleetRetryBudget.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/forward/FleetRetryBudget.java
@@ -8,7 +8,9 @@
  * proportion to its own requests, so the ratio holds for the sum whichever routers come
  * and go. The slack is divided by {@link #SLACK_DIVISOR} times the number of routers, so
  * that partitioned, new and replaced routers, which have no record of what was spent
- * before, cannot push the sum over the bound.
+ * before, cannot push the sum over the bound. A process that has just started has half of
+ * its share for a window: its predecessor may have spent a whole one, and all routers may
+ * restart at once.
  * <p>
  * A process that needs none of its share lends retries to others. A loan is valid at the
  * borrower for at most one bucket after it was requested, and is counted here one bucket
@@ -32,12 +34,18 @@
 	 */
 	private static final double SLACK_DIVISOR = 1.5;
 
+	/** The part of its share that a process has in the first window after its start. */
+	private static final double STARTED_RATIO = SLACK_DIVISOR - 1;
+
 	private final double ratio;
 
 	private final double slack;
 
 	private final long bucketMs;
 
+	/** When the whole share of the slack is available, in milliseconds. */
+	private final long wholeShareAtMs;
+
 	private final SlidingCount requests;
 
 	private final SlidingCount retries;
@@ -49,11 +57,13 @@
 	 * @param ratio the retries per request, over all routers
 	 * @param slack the retries allowed in addition in a window, over all routers
 	 * @param windowMs the window, in milliseconds
+	 * @param startedMs when this process started, in milliseconds
 	 */
-	public FleetRetryBudget(double ratio, double slack, long windowMs) {
+	public FleetRetryBudget(double ratio, double slack, long windowMs, long startedMs) {
 		this.ratio = ratio;
 		this.slack = slack;
 		this.bucketMs = windowMs / BUCKETS;
+		this.wholeShareAtMs = startedMs + windowMs + this.bucketMs;
 		this.requests = new SlidingCount(BUCKETS + 1, this.bucketMs);
 		this.retries = new SlidingCount(BUCKETS + 1, this.bucketMs);
 		this.loans = new SlidingCount(BUCKETS + 2, this.bucketMs);
@@ -105,8 +115,9 @@
 	}
 
 	private double left(long nowMs, int routers) {
+		double share = this.slack / (SLACK_DIVISOR * Math.max(1, routers));
 		return RATIO_MARGIN * this.ratio * this.requests.sum(nowMs)
-				+ Math.floor(this.slack / (SLACK_DIVISOR * Math.max(1, routers))) - this.retries.sum(nowMs)
+				+ Math.floor((nowMs < this.wholeShareAtMs) ? STARTED_RATIO * share : share) - this.retries.sum(nowMs)
 				- this.loans.sum(nowMs);
 	}
 
--- a/whinjunction-core/src/test/java/io/whinjunction/forward/BorrowedRetriesTests.java
+++ b/whinjunction-core/src/test/java/io/whinjunction/forward/BorrowedRetriesTests.java
@@ -98,7 +98,7 @@
 	// still within the window.
 	@Test
 	void aLoanIsCountedForAWindowAfterItsLatestUse() {
-		FleetRetryBudget lender = new FleetRetryBudget(0, 3, WINDOW_MS);
+		FleetRetryBudget lender = new FleetRetryBudget(0, 3, WINDOW_MS, -2 * WINDOW_MS);
 		long lentMs = VALIDITY_MS - 1;
 		assertThat(lender.lend(lentMs, 1)).isTrue();
 
@@ -113,7 +113,7 @@
 	// Guards against a lender whose own next stream finds nothing left.
 	@Test
 	void theLastRetryIsNotLent() {
-		FleetRetryBudget lender = new FleetRetryBudget(0, 3, WINDOW_MS);
+		FleetRetryBudget lender = new FleetRetryBudget(0, 3, WINDOW_MS, -2 * WINDOW_MS);
 
 		assertThat(lender.lend(0, 1)).isTrue();
 		assertThat(lender.lend(0, 1)).isFalse();
--- a/whinjunction-core/src/test/java/io/whinjunction/forward/FleetRetryBudgetTests.java
+++ b/whinjunction-core/src/test/java/io/whinjunction/forward/FleetRetryBudgetTests.java
@@ -23,6 +23,9 @@
 
 	private static final long WINDOW_MS = 10_000;
 
+	/** A start so long ago that the whole share is available. */
+	private static final long START = -2 * WINDOW_MS;
+
 	// Guards against retries that keep failing upstreams overloaded. Eight routers
 	// retry as much as they can for a minute, while some of them are replaced by
 	// routers without a record of what was spent. The sum must stay within the bound
@@ -32,13 +35,13 @@
 		Random random = new Random(seed);
 		List<FleetRetryBudget> routers = new ArrayList<>();
 		for (int index = 0; index < 8; index++) {
-			routers.add(new FleetRetryBudget(RATIO, SLACK, WINDOW_MS));
+			routers.add(new FleetRetryBudget(RATIO, SLACK, WINDOW_MS, START));
 		}
 		Deque<Long> requests = new ArrayDeque<>();
 		Deque<Long> retries = new ArrayDeque<>();
 		for (long nowMs = 0; nowMs < 60_000; nowMs += 50) {
 			if (nowMs % 10_000 == 5_000) {
-				routers.set(random.nextInt(8), new FleetRetryBudget(RATIO, SLACK, WINDOW_MS));
+				routers.set(random.nextInt(8), new FleetRetryBudget(RATIO, SLACK, WINDOW_MS, nowMs));
 			}
 			FleetRetryBudget router = routers.get(random.nextInt(8));
 			router.requested(nowMs);
@@ -53,9 +56,39 @@
 		}
 	}
 
+	// Guards against a fleet that restarts amid failures: each process had a whole share
+	// of the slack again, within the window in which its predecessor had spent one.
+	@Property(tries = 20)
+	void theSumOfAllRoutersStaysWithinTheBoundWhenAllRestart(@ForAll long seed) {
+		Random random = new Random(seed);
+		List<FleetRetryBudget> routers = new ArrayList<>();
+		for (int index = 0; index < 8; index++) {
+			routers.add(new FleetRetryBudget(RATIO, SLACK, WINDOW_MS, START));
+		}
+		long restartMs = 1000 + random.nextInt(20_000);
+		int[] requests = new int[1];
+		int[] retries = new int[1];
+		for (long nowMs = 0; nowMs < restartMs + WINDOW_MS; nowMs += 50) {
+			if (nowMs / 50 == restartMs / 50) {
+				long startedMs = nowMs;
+				routers.replaceAll((router) -> new FleetRetryBudget(RATIO, SLACK, WINDOW_MS, startedMs));
+			}
+			// The failures begin shortly before the restart.
+			boolean fails = nowMs > restartMs - 500;
+			FleetRetryBudget router = routers.get(random.nextInt(8));
+			router.requested(nowMs);
+			requests[0] += (nowMs > restartMs - 500) ? 1 : 0;
+			while (fails && router.tryRepeat(nowMs, 8)) {
+				retries[0]++;
+			}
+		}
+
+		assertThat(retries[0]).isLessThanOrEqualTo((int) (RATIO * requests[0] + SLACK));
+	}
+
 	@Test
 	void aSingleFailureIsRetriedAtOnce() {
-		FleetRetryBudget budget = new FleetRetryBudget(RATIO, SLACK, WINDOW_MS);
+		FleetRetryBudget budget = new FleetRetryBudget(RATIO, SLACK, WINDOW_MS, 0);
 		budget.requested(0);
 
 		assertThat(budget.tryRepeat(0, 8)).isTrue();
@@ -63,7 +96,7 @@
 
 	@Test
 	void theBudgetIsRestoredAfterTheWindow() {
-		FleetRetryBudget budget = new FleetRetryBudget(RATIO, 12, WINDOW_MS);
+		FleetRetryBudget budget = new FleetRetryBudget(RATIO, 12, WINDOW_MS, START);
 		while (budget.tryRepeat(0, 8)) {
 			budget.requested(0);
 		}
--- a/whinjunction-core/src/test/java/io/whinjunction/forward/RetryLoanLoadTests.java
+++ b/whinjunction-core/src/test/java/io/whinjunction/forward/RetryLoanLoadTests.java
@@ -123,7 +123,7 @@
 	/** A router. */
 	private final class Node {
 
-		private final FleetRetryBudget budget = new FleetRetryBudget(RATIO, SLACK, WINDOW_MS);
+		private final FleetRetryBudget budget = new FleetRetryBudget(RATIO, SLACK, WINDOW_MS, -2 * WINDOW_MS);
 
 		private final BorrowedRetries borrowed = new BorrowedRetries(this.budget.loanValidityMs(),
 				RetryLoanLoadTests.this.random);
--- a/whinjunction-core/src/test/java/io/whinjunction/forward/RetryLoanPropertyTests.java
+++ b/whinjunction-core/src/test/java/io/whinjunction/forward/RetryLoanPropertyTests.java
@@ -183,7 +183,8 @@
 		/** A router. */
 		private final class Node {
 
-			private final FleetRetryBudget budget = new FleetRetryBudget(Fleet.this.ratio, Fleet.this.slack, WINDOW_MS);
+			private final FleetRetryBudget budget = new FleetRetryBudget(Fleet.this.ratio, Fleet.this.slack, WINDOW_MS,
+					-2 * WINDOW_MS);
 
 			private final BorrowedRetries borrowed = new BorrowedRetries(this.budget.loanValidityMs(),
 					Fleet.this.random);
--- a/whinjunction-router/src/main/java/io/whinjunction/router/Router.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/Router.java
@@ -87,6 +87,8 @@
 
 	private final Ticker ticker = Ticker.system();
 
+	private final long startedMs = this.ticker.nowMs();
+
 	private final RandomGenerator random = RandomGenerator.getDefault();
 
 	private final BootClock boot;
@@ -490,8 +492,8 @@
 	@Override
 	public FleetRetryBudget budget(String service) {
 		RouterSettings.Bounds bounds = this.settings.bounds();
-		return this.budgets.computeIfAbsent(service,
-				(name) -> new FleetRetryBudget(bounds.repeatRatio(), bounds.repeatSlack(), bounds.repeatWindowMs()));
+		return this.budgets.computeIfAbsent(service, (name) -> new FleetRetryBudget(bounds.repeatRatio(),
+				bounds.repeatSlack(), bounds.repeatWindowMs(), this.startedMs));
 	}
 
 	@Override
