A configuration whose list of teams is empty accepts no key

What was seen: after the last team was removed, requests with its keys, with any key and without one were run.

Cause: an empty list was taken for a configuration without keys.

Fix: a list that is there requires keys, also if it is empty; only a configuration without the list does not. Refused are then all requests but those on anonymous routes, which is what the operator wrote; the opposite mistake would let everyone in. All deployments at hand have teams.

--- a/whinjunction-core/src/main/java/io/whinjunction/routing/RoutingConfiguration.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/routing/RoutingConfiguration.java
@@ -38,13 +38,14 @@
 	 * @param routes all routes
 	 * @param services all services
 	 * @param limits the limits on what callers may send
-	 * @param teams all teams; if there are none, no request needs a key
+	 * @param keysRequired whether requests need a key, although no team may have one
+	 * @param teams all teams
 	 */
 	public RoutingConfiguration(long version, List<Route> routes, List<RoutedService> services, CallerLimits limits,
-			List<RoutedTeam> teams) {
+			boolean keysRequired, List<RoutedTeam> teams) {
 		this.version = version;
 		this.limits = limits;
-		this.keysRequired = !teams.isEmpty();
+		this.keysRequired = keysRequired;
 		for (Route route : routes) {
 			this.routesByHost.computeIfAbsent(route.host(), (host) -> new ArrayList<>()).add(route);
 		}
@@ -100,7 +101,7 @@
 
 	/**
 	 * Returns whether requests on routes that are not anonymous need a key.
-	 * @return {@code true} if there are teams
+	 * @return whether the configuration has a list of teams, even an empty one
 	 */
 	public boolean keysRequired() {
 		return this.keysRequired;
--- a/whinjunction-core/src/test/java/io/whinjunction/routing/RankedServiceTests.java
+++ b/whinjunction-core/src/test/java/io/whinjunction/routing/RankedServiceTests.java
@@ -30,7 +30,7 @@
 	}
 
 	private static boolean ranked(List<Route> routes, RoutedTeam... teams) {
-		return new RoutingConfiguration(1, routes, List.of(), CallerLimits.DEFAULT, List.of(teams)).ranked("s");
+		return new RoutingConfiguration(1, routes, List.of(), CallerLimits.DEFAULT, true, List.of(teams)).ranked("s");
 	}
 
 	private static Route stream(int priority, boolean anonymous) {
--- a/whinjunction-core/src/test/java/io/whinjunction/routing/RoutingConfigurationTests.java
+++ b/whinjunction-core/src/test/java/io/whinjunction/routing/RoutingConfigurationTests.java
@@ -64,7 +64,7 @@
 	}
 
 	private static RoutingConfiguration configuration(Route... routes) {
-		return new RoutingConfiguration(3, List.of(routes), List.of(), CallerLimits.DEFAULT,
+		return new RoutingConfiguration(3, List.of(routes), List.of(), CallerLimits.DEFAULT, true,
 				List.of(new RoutedTeam("agency", List.of("k1", "k2"), -1)));
 	}
 
--- a/whinjunction-router/src/test/java/io/whinjunction/router/ConfigurationSynchronizerTests.java
+++ b/whinjunction-router/src/test/java/io/whinjunction/router/ConfigurationSynchronizerTests.java
@@ -103,7 +103,8 @@
 
 	private static ConfigurationDocument document(long version) {
 		return new ConfigurationDocument(
-				new RoutingConfiguration(version, List.of(), List.of(), CallerLimits.DEFAULT, List.of()), new byte[0]);
+				new RoutingConfiguration(version, List.of(), List.of(), CallerLimits.DEFAULT, false, List.of()),
+				new byte[0]);
 	}
 
 	private FleetStore store() {
--- a/whinjunction-router/src/test/java/io/whinjunction/router/RetryLoansTests.java
+++ b/whinjunction-router/src/test/java/io/whinjunction/router/RetryLoansTests.java
@@ -118,7 +118,7 @@
 		}
 		Map<Object, FleetRetryBudget> budgets = new HashMap<>();
 		RoutingConfiguration configuration = configured ? new RoutingConfiguration(1, List.of(),
-				List.of(new RoutedService(SERVICE, "/", 1, null)), CallerLimits.DEFAULT, List.of()) : null;
+				List.of(new RoutedService(SERVICE, "/", 1, null)), CallerLimits.DEFAULT, false, List.of()) : null;
 		Random random = new Random(2);
 		RouterMetrics metrics = new RouterMetrics();
 		RouterContext context = (RouterContext) Proxy.newProxyInstance(getClass().getClassLoader(),
--- a/whinjunction-router/src/test/java/io/whinjunction/router/SimulatedStore.java
+++ b/whinjunction-router/src/test/java/io/whinjunction/router/SimulatedStore.java
@@ -141,7 +141,8 @@
 
 	static ConfigurationDocument document(long version) {
 		return new ConfigurationDocument(
-				new RoutingConfiguration(version, List.of(), List.of(), CallerLimits.DEFAULT, List.of()), new byte[0]);
+				new RoutingConfiguration(version, List.of(), List.of(), CallerLimits.DEFAULT, false, List.of()),
+				new byte[0]);
 	}
 
 	/** Returns whether a router currently reaches the store. */
