Callers that take no answers leave memory for the others

Cause: a turn took up to a megabyte from the upstream of a caller that reads nothing (bounded since a turn reads one buffer), each answer up to 256 KB was buffered whole, whatever the others held, and requests that wait on a connection were sent on and answered into memory.

Fix: the process counts what it buffers for attempts and callers (whin_router_state{kind="buffered_answer_bytes"}). From 16 MB on an answer is passed on after its first 16 KB, and read as fast as its caller reads. The next request of a connection waits until its caller takes what was written.

--- a/whinjunction-router/src/main/java/io/whinjunction/router/Attempt.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/Attempt.java
@@ -37,12 +37,6 @@
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-	/**
-	 * Answers up to this size are buffered completely before they are passed on, in
-	 * bytes.
-	 */
-	private static final int MAX_BUFFERED_ANSWER_BYTES = 262_144;
-
 	/**
 	 * The longest answer without success, in bytes: it is buffered, as it may be replaced
 	 * by the answer to another attempt.
@@ -603,16 +597,19 @@
 	private void takeWhole(ByteBuf content) {
 		ByteBuf body = this.answer.body();
 		boolean passable = this.head.success() && this.head.genuine();
-		int limitBytes = passable ? MAX_BUFFERED_ANSWER_BYTES : MAX_FAILURE_BYTES;
+		BufferedAnswers buffered = this.session.router().bufferedAnswers();
+		int limitBytes = passable ? buffered.limitBytes() : MAX_FAILURE_BYTES;
 		if (this.passedOn) {
 			this.session.onEvents(this.answer, content.retain());
 		}
 		else if (body.readableBytes() + content.readableBytes() <= limitBytes) {
+			buffered.add(content.readableBytes());
 			body.writeBytes(content);
 		}
 		else if (passable) {
 			this.passedOn = true;
 			this.session.onEvents(this.answer, body.copy());
+			buffered.remove(body.readableBytes());
 			body.clear();
 			this.session.onEvents(this.answer, content.retain());
 		}
@@ -802,6 +799,9 @@
 		this.session.router().engineMonitor().remove(this);
 		this.load.readingEnded();
 		this.load.ended();
+		if (this.answer != null) {
+			this.session.router().bufferedAnswers().remove(this.answer.body().readableBytes());
+		}
 	}
 
 }
--- /dev/null
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/BufferedAnswers.java
@@ -0,0 +1,73 @@
+package io.whinjunction.router;
+
+import io.netty.channel.ChannelFuture;
+
+/**
+ * Counts the bytes of answers that this process buffers: those of attempts that are not
+ * passed on yet, and those that callers have not taken yet.
+ * <p>
+ * Guards against callers that read slowly, whose answers together fill the memory. While
+ * many bytes are buffered, an answer is passed on as it arrives after its first bytes, so
+ * that its upstream is read as fast as its caller reads. Confined to the event loop.
+ */
+final class BufferedAnswers {
+
+	/**
+	 * Answers up to this size are buffered completely before they are passed on, in
+	 * bytes.
+	 */
+	private static final int MAX_ANSWER_BYTES = 262_144;
+
+	/** The same while many bytes are buffered. */
+	private static final int MIN_ANSWER_BYTES = 16_384;
+
+	/** From here on many bytes are buffered: a sixth of the usual heap. */
+	private static final long MANY_BYTES = 16L << 20;
+
+	private long bytes;
+
+	/**
+	 * Returns how much of an answer may be buffered before it is passed on.
+	 * @return bytes
+	 */
+	int limitBytes() {
+		return (this.bytes < MANY_BYTES) ? MAX_ANSWER_BYTES : MIN_ANSWER_BYTES;
+	}
+
+	/**
+	 * Returns how much is buffered.
+	 * @return bytes
+	 */
+	long bytes() {
+		return this.bytes;
+	}
+
+	/**
+	 * Counts bytes that are buffered from now on.
+	 * @param count the bytes
+	 */
+	void add(long count) {
+		this.bytes += count;
+	}
+
+	/**
+	 * Counts bytes that are not buffered any more.
+	 * @param count the bytes
+	 */
+	void remove(long count) {
+		this.bytes -= count;
+	}
+
+	/**
+	 * Counts bytes until they are written.
+	 * @param count the bytes
+	 * @param writing completes when they are written, or never will be
+	 */
+	void addUntil(long count, ChannelFuture writing) {
+		if (count > 0 && !writing.isDone()) {
+			add(count);
+			writing.addListener((written) -> remove(count));
+		}
+	}
+
+}
--- a/whinjunction-router/src/main/java/io/whinjunction/router/CallerConnection.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/CallerConnection.java
@@ -9,6 +9,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -55,6 +56,9 @@
 	 */
 	private static final int MAX_QUEUED_OBJECTS = 256;
 
+	/** Larger chunks count as buffered until they are written; others pass at once. */
+	private static final int LARGE_CHUNK_BYTES = 32_768;
+
 	private final RouterContext router;
 
 	private final boolean ofPeer;
@@ -117,7 +121,7 @@
 			return;
 		}
 		HttpObject object = (HttpObject) message;
-		if (this.answered || this.waiting.isEmpty() && (this.bodyOpen || !(object instanceof HttpRequest))) {
+		if (mayProcess(object)) {
 			process(object);
 		}
 		else if (this.waiting.size() < MAX_QUEUED_OBJECTS) {
@@ -130,6 +134,16 @@
 		}
 	}
 
+	// A request begins after the answer to the one before it, and only if the caller
+	// takes
+	// its answers.
+	private boolean mayProcess(HttpObject object) {
+		if (object instanceof HttpRequest) {
+			return this.answered && this.waiting.isEmpty() && writable();
+		}
+		return this.waiting.isEmpty();
+	}
+
 	// The rest of a body whose request was answered may be without end.
 	private boolean droppingBody() {
 		return this.answered && this.bodyOpen;
@@ -228,8 +242,9 @@
 	@Override
 	public void channelWritabilityChanged(ChannelHandlerContext context) {
 		if (this.session != null) {
-			this.session.onCallerWritable(context.channel().isWritable());
+			this.session.onCallerWritable(writable());
 		}
+		next();
 	}
 
 	@Override
@@ -261,7 +276,8 @@
 		if (!this.headRequest || !response.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
 			response.headers().set(HttpHeaderNames.CONTENT_LENGTH, answer.body().readableBytes());
 		}
-		finish(response, response.headers());
+		int bytes = response.content().readableBytes();
+		this.router.bufferedAnswers().addUntil(bytes, finish(response, response.headers()));
 	}
 
 	/**
@@ -296,7 +312,11 @@
 		}
 		try {
 			if (content.isReadable()) {
-				this.encoder.write(ChunkWriter.chunk(this.encoder.alloc(), content));
+				int bytes = content.readableBytes();
+				ChannelFuture writing = this.encoder.write(ChunkWriter.chunk(this.encoder.alloc(), content));
+				if (bytes > LARGE_CHUNK_BYTES) {
+					this.router.bufferedAnswers().addUntil(bytes, writing);
+				}
 			}
 		}
 		finally {
@@ -368,7 +388,7 @@
 	 * stopping; what was answered is delivered first.
 	 */
 	void closeIfIdle() {
-		if (this.answered && !this.bodyOpen && !this.closing) {
+		if (this.answered && !this.bodyOpen && !this.closing && this.waiting.isEmpty()) {
 			this.closing = true;
 			closeAfterWrites();
 		}
@@ -437,10 +457,10 @@
 	 * @return whether this process has to wait for this connection before it exits
 	 */
 	boolean busy() {
-		return !this.answered || (this.closing && this.channel.isActive());
+		return !this.answered || !this.waiting.isEmpty() || (this.closing && this.channel.isActive());
 	}
 
-	private void finish(Object message, HttpHeaders headers) {
+	private ChannelFuture finish(Object message, HttpHeaders headers) {
 		this.session = null;
 		if (headers != null) {
 			setConnectionHeader(headers);
@@ -450,14 +470,14 @@
 		if (close) {
 			this.closing = true;
 			this.answered = true;
-			this.channel.writeAndFlush(message).addListener(ChannelFutureListener.CLOSE);
-			return;
+			return this.channel.writeAndFlush(message).addListener(ChannelFutureListener.CLOSE);
 		}
-		this.channel.writeAndFlush(message);
+		ChannelFuture writing = this.channel.writeAndFlush(message);
 		this.answered = true;
 		// The request may have stopped the reading of its body.
 		this.channel.config().setAutoRead(true);
 		next();
+		return writing;
 	}
 
 	private void setConnectionHeader(HttpHeaders headers) {
@@ -474,7 +494,7 @@
 	}
 
 	private void next() {
-		while (this.answered && !this.bodyOpen && !this.closing && !this.waiting.isEmpty()) {
+		while (this.answered && !this.bodyOpen && !this.closing && !this.waiting.isEmpty() && writable()) {
 			process(this.waiting.poll());
 			while (this.bodyOpen && !this.waiting.isEmpty() && !(this.waiting.peek() instanceof HttpRequest)) {
 				process(this.waiting.poll());
--- a/whinjunction-router/src/main/java/io/whinjunction/router/Router.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/Router.java
@@ -89,6 +89,8 @@
 
 	private final long startedMs = this.ticker.nowMs();
 
+	private final BufferedAnswers bufferedAnswers = new BufferedAnswers();
+
 	private final RandomGenerator random = RandomGenerator.getDefault();
 
 	private final BootClock boot;
@@ -419,6 +421,7 @@
 		this.metrics.state("list_age_ms", this.directorySynchronizer.state().ageMs());
 		this.metrics.state("upstreams", this.directory.size());
 		this.metrics.state("callers", this.callers.size());
+		this.metrics.state("buffered_answer_bytes", this.bufferedAnswers.bytes());
 		this.metrics.state("limited_upstreams", this.limits.count());
 		this.metrics.state("backing_off_upstreams", this.availability.backingOffCount());
 		this.metrics.state("waiting_streams", this.callers.stream().filter(CallerConnection::waitsToResume).count());
@@ -469,6 +472,11 @@
 		return this.proof;
 	}
 
+	@Override
+	public BufferedAnswers bufferedAnswers() {
+		return this.bufferedAnswers;
+	}
+
 	@Override
 	public UpstreamDirectory directory() {
 		return this.directory;
--- a/whinjunction-router/src/main/java/io/whinjunction/router/RouterContext.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/RouterContext.java
@@ -51,6 +51,12 @@
 	 */
 	ConfigurationProof proof();
 
+	/**
+	 * Returns the count of the bytes of answers that are buffered.
+	 * @return the count
+	 */
+	BufferedAnswers bufferedAnswers();
+
 	/**
 	 * Returns the directory of all upstreams.
 	 * @return the directory
