--- a/whinjunction-core/src/main/java/io/whinjunction/http/AsyncCaller.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/http/AsyncCaller.java
@@ -96,11 +96,22 @@
 	 * @param done receives the result
 	 */
 	public void call(Call call, Consumer<CallResult> done) {
+		call(call, MAX_BODY_BYTES, done);
+	}
+
+	/**
+	 * Makes one call whose response is bounded.
+	 * @param call the call to send
+	 * @param maxBodyBytes the longest body of the response, in bytes; a longer one counts
+	 * as lost
+	 * @param done receives the result
+	 */
+	public void call(Call call, long maxBodyBytes, Consumer<CallResult> done) {
 		Pending pending = new Pending(call, done);
 		int epoch = this.epochs.getOrDefault(call.address(), 0);
 		ListenableFuture<Response> future = LibraryCalls
 			.request(this.client, call, epoch, Duration.ofMillis(call.timeoutMs() + LIBRARY_SLACK_MS))
-			.execute(new LibraryCalls.Observer(MAX_BODY_BYTES,
+			.execute(new LibraryCalls.Observer(maxBodyBytes,
 					(result) -> this.loop.execute(() -> pending.complete(result))));
 		pending.startTimeout(future);
 	}
--- a/whinjunction-core/src/main/java/io/whinjunction/http/Call.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/http/Call.java
@@ -70,4 +70,13 @@
 				this.freshConnection);
 	}
 
+	/**
+	 * Returns a copy of this call that opens a new connection, on which nothing can
+	 * arrive that belongs to an earlier call.
+	 * @return a new call
+	 */
+	public Call onNewConnection() {
+		return new Call(this.method, this.address, this.pathAndQuery, this.headers, this.body, this.timeoutMs, true);
+	}
+
 }
