--- a/whinjunction-router/src/main/java/io/whinjunction/router/CallerConnection.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/CallerConnection.java
@@ -134,9 +134,7 @@
 		}
 	}
 
-	// A request begins after the answer to the one before it, and only if the caller
-	// takes
-	// its answers.
+	// A request waits for the answer before it, and for its caller to take it.
 	private boolean mayProcess(HttpObject object) {
 		if (object instanceof HttpRequest) {
 			return this.answered && this.waiting.isEmpty() && writable();
