--- a/platform/src/main/java/io/whinjunction/adapter/ReloadSignal.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/ReloadSignal.java
@@ -1,4 +1,4 @@
-package io.whinjunction.adapter;
+package io.whinjunction.router;
 
 import sun.misc.Signal;
 
@@ -9,7 +9,7 @@
  * Invariant: a signal that arrives before the reload can run is not lost, it runs then.
  * Thread-safe.
  */
-final class ReloadSignal {
+public final class ReloadSignal {
 
 	/** {@code null} until the process can reload. */
 	private Runnable reload;
@@ -20,13 +20,14 @@
 	 * Takes the signal from now on.
 	 * @return the handler
 	 */
-	static ReloadSignal install() {
+	public static ReloadSignal install() {
 		ReloadSignal handler = new ReloadSignal();
 		Signal.handle(new Signal("HUP"), (signal) -> handler.onSignal());
 		return handler;
 	}
 
-	synchronized void onSignal() {
+	/** Reloads, or puts it off. */
+	public synchronized void onSignal() {
 		if (this.reload != null) {
 			this.reload.run();
 		}
@@ -39,7 +40,7 @@
 	 * Sets what a signal does, and does it if one was received.
 	 * @param reload the action
 	 */
-	synchronized void ready(Runnable reload) {
+	public synchronized void ready(Runnable reload) {
 		this.reload = reload;
 		if (this.pending) {
 			this.pending = false;
