One check of what an upstream's response consists of, for requests and for calls

UpstreamConnection and ResponseGuard each chose between head, trailer and anything else; the validator does. The loop around a chunked body never ran twice and is a condition now.

--- a/whinjunction-core/src/main/java/io/whinjunction/http/ResponseGuard.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/http/ResponseGuard.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.util.List;
-import java.util.Optional;
 
 import com.google.common.flogger.FluentLogger;
 import io.netty.channel.Channel;
@@ -65,8 +64,9 @@
 			return;
 		}
 		if (message instanceof HttpObject object) {
-			problem(object).ifPresent((problem) -> object
-				.setDecoderResult(DecoderResult.failure(new IOException("invalid response: " + problem))));
+			ResponseHeadValidator.problem(object, List.of())
+				.ifPresent((problem) -> object
+					.setDecoderResult(DecoderResult.failure(new IOException("invalid response: " + problem))));
 			if (object instanceof HttpResponse response) {
 				this.interim = object.decoderResult().isSuccess()
 						&& response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
@@ -80,12 +80,4 @@
 		context.fireChannelRead(message);
 	}
 
-	private static Optional<String> problem(HttpObject object) {
-		if (object instanceof HttpResponse response) {
-			return ResponseHeadValidator.problem(response, List.of());
-		}
-		return (object instanceof LastHttpContent end) ? ResponseHeadValidator.problem(end.trailingHeaders())
-				: Optional.empty();
-	}
-
 }
--- a/whinjunction-core/src/main/java/io/whinjunction/http/ResponseHeadValidator.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/http/ResponseHeadValidator.java
@@ -10,9 +10,11 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
 
 /**
  * Checks whether the head of a response is that of one response.
@@ -32,16 +34,23 @@
 	}
 
 	/**
-	 * Validates a head.
-	 * @param head the head as decoded by the HTTP library
+	 * Validates a part of a response: its head, and the fields after a chunked body.
+	 * @param part the part as decoded by the HTTP library
 	 * @param singleHeaders the names of headers that may be given once at most, besides
 	 * those of the framing
-	 * @return the problem, or empty if the head is valid
+	 * @return the problem, or empty if the part is valid
 	 */
-	public static Optional<String> problem(HttpResponse head, Collection<String> singleHeaders) {
-		if (head.decoderResult().isFailure()) {
-			return Optional.of(String.valueOf(head.decoderResult().cause().getMessage()));
+	public static Optional<String> problem(HttpObject part, Collection<String> singleHeaders) {
+		if (part.decoderResult().isFailure()) {
+			return Optional.of(String.valueOf(part.decoderResult().cause().getMessage()));
 		}
+		if (part instanceof HttpResponse head) {
+			return problemOfHead(head, singleHeaders);
+		}
+		return (part instanceof LastHttpContent end) ? problemOfFields(end.trailingHeaders()) : Optional.empty();
+	}
+
+	private static Optional<String> problemOfHead(HttpResponse head, Collection<String> singleHeaders) {
 		if (!HttpVersion.HTTP_1_1.equals(head.protocolVersion())
 				&& !HttpVersion.HTTP_1_0.equals(head.protocolVersion())) {
 			return Optional.of("protocol version " + head.protocolVersion() + " is not HTTP/1.0 or HTTP/1.1");
@@ -52,20 +61,14 @@
 		if (containsStatusLine(head.status().reasonPhrase())) {
 			return Optional.of("the reason phrase contains a status line");
 		}
-		Optional<String> field = problem(head.headers());
-		return field.isPresent() ? field
-				: problemOfFraming(head.headers()).or(() -> singleHeaders.stream()
-					.filter((name) -> head.headers().getAll(name).size() > 1)
-					.findFirst()
-					.map((name) -> "more than one " + name));
+		return problemOfFields(head.headers()).or(() -> problemOfFraming(head.headers()))
+			.or(() -> singleHeaders.stream()
+				.filter((name) -> head.headers().getAll(name).size() > 1)
+				.findFirst()
+				.map((name) -> "more than one " + name));
 	}
 
-	/**
-	 * Validates fields, which may also be those after a chunked body.
-	 * @param fields the fields
-	 * @return the problem, or empty if the fields are valid
-	 */
-	public static Optional<String> problem(HttpHeaders fields) {
+	private static Optional<String> problemOfFields(HttpHeaders fields) {
 		for (Iterator<Map.Entry<String, String>> all = fields.iteratorAsString(); all.hasNext();) {
 			Map.Entry<String, String> field = all.next();
 			if (containsStatusLine(field.getValue())) {
--- a/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamConnection.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamConnection.java
@@ -219,7 +219,7 @@
 	}
 
 	private void read(HttpObject object) {
-		Optional<String> problem = problem(object);
+		Optional<String> problem = ResponseHeadValidator.problem(object, this.dialect.singleResponseHeaders());
 		if (problem.isPresent()) {
 			onInvalid(problem.get());
 			return;
@@ -241,17 +241,6 @@
 		}
 	}
 
-	private Optional<String> problem(HttpObject object) {
-		if (object.decoderResult().isFailure()) {
-			return Optional.of(String.valueOf(object.decoderResult().cause().getMessage()));
-		}
-		if (object instanceof HttpResponse response) {
-			return ResponseHeadValidator.problem(response, this.dialect.singleResponseHeaders());
-		}
-		return (object instanceof LastHttpContent end) ? ResponseHeadValidator.problem(end.trailingHeaders())
-				: Optional.empty();
-	}
-
 	private void onInvalid(String problem) {
 		if (this.listener != null) {
 			logger.atWarning()
--- a/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamResponseDecoder.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamResponseDecoder.java
@@ -133,40 +133,41 @@
 
 	// Returns false if the library has to decode what comes next.
 	private boolean readBody(ChannelHandlerContext context, ByteBuf in) {
-		while (this.body != null) {
-			int dataStart = in.readerIndex();
-			int dataEnd = dataStart;
-			ChunkReader.Found found = this.chunks.read(in);
-			while (found == ChunkReader.Found.DATA) {
-				int bytes = this.chunks.dataBytes();
-				if (dataEnd == dataStart) {
-					dataStart = in.readerIndex();
-					dataEnd = dataStart + bytes;
-				}
-				else {
-					// Moves the data next to that of the chunk before it.
-					in.setBytes(dataEnd, in, in.readerIndex(), bytes);
-					dataEnd += bytes;
-				}
-				in.skipBytes(bytes);
-				found = this.chunks.read(in);
-			}
-			if (dataEnd > dataStart) {
-				this.body.accept(in.slice(dataStart, dataEnd - dataStart));
-			}
-			if (found == ChunkReader.Found.INCOMPLETE) {
-				return true;
+		if (this.body == null) {
+			return false;
+		}
+		int dataStart = in.readerIndex();
+		int dataEnd = dataStart;
+		ChunkReader.Found found = this.chunks.read(in);
+		while (found == ChunkReader.Found.DATA) {
+			int bytes = this.chunks.dataBytes();
+			if (dataEnd == dataStart) {
+				dataStart = in.readerIndex();
+				dataEnd = dataStart + bytes;
 			}
-			this.body = null;
-			if (found == ChunkReader.Found.INVALID) {
-				in.skipBytes(in.readableBytes());
-				HttpContent invalid = new DefaultLastHttpContent(Unpooled.EMPTY_BUFFER);
-				invalid.setDecoderResult(DecoderResult.failure(new InvalidChunkTerminationException()));
-				context.fireChannelRead(invalid);
-				return true;
+			else {
+				// Moves the data next to that of the chunk before it.
+				in.setBytes(dataEnd, in, in.readerIndex(), bytes);
+				dataEnd += bytes;
 			}
+			in.skipBytes(bytes);
+			found = this.chunks.read(in);
+		}
+		if (dataEnd > dataStart) {
+			this.body.accept(in.slice(dataStart, dataEnd - dataStart));
+		}
+		if (found == ChunkReader.Found.INCOMPLETE) {
+			return true;
+		}
+		this.body = null;
+		if (found != ChunkReader.Found.INVALID) {
+			return false;
 		}
-		return false;
+		in.skipBytes(in.readableBytes());
+		HttpContent invalid = new DefaultLastHttpContent(Unpooled.EMPTY_BUFFER);
+		invalid.setDecoderResult(DecoderResult.failure(new InvalidChunkTerminationException()));
+		context.fireChannelRead(invalid);
+		return true;
 	}
 
 	// The library would turn reading on again that the consumer has turned off, as no
