A log line is bounded in length

A caller chooses the ids that a line names, up to the size of a head: 2,048 queued lines of two such ids took up to 64 MB, and the thread that writes them was the first to fail in a full heap. Lines are cut at 4,096 characters, so that the queue takes 8 MB at most. Found by reading; the tests of crowds run with it.

--- a/whinjunction-core/src/main/java/io/whinjunction/log/LineLog.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/log/LineLog.java
@@ -28,6 +28,9 @@
 	/** Holds the lines of a busy router for longer than a reader usually stalls. */
 	private static final int CAPACITY = 2048;
 
+	/** Longer lines are cut: a caller chooses the ids that they name. */
+	private static final int MAX_LINE_CHARS = 4096;
+
 	/**
 	 * How long a line waits for further ones, in milliseconds, so that they are written
 	 * in one call.
@@ -94,6 +97,7 @@
 				line.append(" at=").append(cause.getStackTrace()[0]);
 			}
 		}
+		line.setLength(Math.min(line.length(), MAX_LINE_CHARS));
 		line.append('\n');
 		if (!this.lines.offer(line.toString())) {
 			this.dropped.incrementAndGet();
