--- a/whinjunction-core/src/main/java/io/whinjunction/http/server/ServerConnection.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/http/server/ServerConnection.java
@@ -54,7 +54,6 @@
 	 * Counts an HTTP/2 stream until it is closed.
 	 * @param stream the stream
 	 */
-	@SuppressWarnings("NonAtomicOperationOnVolatileField")
 	void streamOpened(Channel stream) {
 		this.streams++;
 		stream.closeFuture().addListener((closed) -> {
--- a/whinjunction-core/src/main/java/io/whinjunction/log/LineLog.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/log/LineLog.java
@@ -29,7 +29,7 @@
 	private static final int CAPACITY = 2048;
 
 	/** Longer lines are cut: a caller chooses the ids that they name. */
-	private static final int MAX_LINE_CHARS = 4096;
+	static final int MAX_LINE_CHARS = 4096;
 
 	/**
 	 * How long a line waits for further ones, in milliseconds, so that they are written
@@ -87,6 +87,12 @@
 
 	@Override
 	public void publish(LogRecord record) {
+		if (!this.lines.offer(format(record))) {
+			this.dropped.incrementAndGet();
+		}
+	}
+
+	String format(LogRecord record) {
 		StringBuilder line = new StringBuilder(160);
 		line.append("time=");
 		this.time.append(line, record.getInstant());
@@ -98,10 +104,7 @@
 			}
 		}
 		line.setLength(Math.min(line.length(), MAX_LINE_CHARS));
-		line.append('\n');
-		if (!this.lines.offer(line.toString())) {
-			this.dropped.incrementAndGet();
-		}
+		return line.append('\n').toString();
 	}
 
 	@Override
--- a/whinjunction-core/src/test/java/io/whinjunction/log/LineLogTests.java
+++ b/whinjunction-core/src/test/java/io/whinjunction/log/LineLogTests.java
@@ -4,6 +4,7 @@
 import java.lang.ref.WeakReference;
 import java.util.logging.Level;
 import java.util.logging.LogManager;
+import java.util.logging.LogRecord;
 import java.util.logging.Logger;
 
 import org.junit.jupiter.api.AfterEach;
@@ -33,4 +34,12 @@
 		assertThat(Logger.getLogger("io.whinjunction.log").isLoggable(Level.INFO)).isTrue();
 	}
 
+	// Guards against queued lines that fill the memory, as callers choose their ids.
+	@Test
+	void aLineIsBoundedInLength() {
+		LogRecord record = new LogRecord(Level.INFO, "event=request id=" + "x".repeat(10 * LineLog.MAX_LINE_CHARS));
+
+		assertThat(LineLog.install().format(record)).hasSize(LineLog.MAX_LINE_CHARS + 1).endsWith("\n");
+	}
+
 }
