The time for a head does not run while answers wait to be taken

What callers saw: one that sent 60 requests ahead and took the answers after three seconds was disconnected, since the undecoded rest counted as a head that comes slowly. Cause: header-timeout-ms, newly in force, was counted while the decoder itself waited. It counts from the moment at which the connection can serve another request. The test failed before (the connection ended within the answers) and passes now.

--- a/whinjunction-router/src/main/java/io/whinjunction/router/AcceptedConnection.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/AcceptedConnection.java
@@ -128,6 +128,9 @@
 	/** Decodes the next request if it was received while another one was served. */
 	void next() {
 		if (this.requests.takesNext()) {
+			if (this.incompleteSinceMs >= 0) {
+				this.incompleteSinceMs = this.port.nowMs();
+			}
 			this.decoder.resume();
 			updateReading(this.share.bytes(MemoryShare.Use.DECODING));
 		}
@@ -166,7 +169,8 @@
 	 * @param limits how long heads may take, and how long it may be idle
 	 */
 	void closeIfSlow(long nowMs, CallerLimits limits) {
-		boolean inHead = this.incompleteSinceMs >= 0 && this.requests.awaitsHead();
+		// What stays undecoded until an answer is taken is not the head's delay.
+		boolean inHead = this.incompleteSinceMs >= 0 && this.requests.awaitsHead() && this.requests.takesNext();
 		if (inHead && nowMs - Math.max(this.incompleteSinceMs, activeAtMs()) > limits.headerTimeoutMs()) {
 			this.port.shed(this, "header-timeout");
 		}
