--- a/whinjunction-router/src/main/java/io/whinjunction/router/Router.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/Router.java
@@ -1,7 +1,5 @@
 package io.whinjunction.router;
 
-import java.net.InetSocketAddress;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -9,22 +7,13 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 
 import com.google.common.flogger.FluentLogger;
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelHandler;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.whinjunction.forward.FleetRetryBudget;
-import io.whinjunction.http.BoundedReads;
 import io.whinjunction.memory.MemoryBudget;
 import io.whinjunction.proof.ConfigurationProof;
 import io.whinjunction.reachability.Reachability;
@@ -74,19 +63,6 @@
 	 */
 	private static final long ANNOUNCE_JITTER_MS_PER_ROUTER = 20;
 
-	/** Descriptors that are not sockets. */
-	private static final int FILE_DESCRIPTORS = 200;
-
-	/**
-	 * The part of the sockets that callers may take: each of their requests may take
-	 * another one to an upstream, and the rest serves peers, engines and the store.
-	 */
-	private static final int CALLERS_DIVISOR = 3;
-
-	private static final int PEERS_DIVISOR = 6;
-
-	private static final int READY_DIVISOR = 50;
-
 	private static final int LOG_INTERVAL_S = 1;
 
 	private final EventLoop loop;
@@ -103,8 +79,6 @@
 
 	private final BufferedAnswers bufferedAnswers = new BufferedAnswers(this.callerMemory);
 
-	private final List<AcceptedConnections> accepted = new ArrayList<>();
-
 	private final RandomGenerator random = RandomGenerator.getDefault();
 
 	private final BootClock boot;
@@ -153,10 +127,10 @@
 
 	private final Set<CallerConnection> callers = new HashSet<>();
 
-	private final Runnable onFatal;
-
 	private final Closer closer = new Closer();
 
+	private final Listeners listeners;
+
 	private final CallersPort callersPort;
 
 	private final StopAdmission stopAdmission = new StopAdmission();
@@ -185,9 +159,9 @@
 	 */
 	public Router(EventLoopGroup group, RouterSettings settings, Ports ports, BootClock boot, Runnable onFatal) {
 		this.loop = group.next();
-		this.onFatal = onFatal;
 		this.callersPort = this.closer.register(ports.callersPort());
 		this.settings = settings;
+		this.listeners = new Listeners(this, this.callerMemory, settings.maxDescriptors(), onFatal, this.closer);
 		this.dialect = ports.dialect();
 		this.metrics = ports.metrics();
 		this.boot = boot;
@@ -241,19 +215,17 @@
 		this.closer.register(peerChannel::close);
 		PeerConfigurationHandler documents = new PeerConfigurationHandler(this.configurationSynchronizer::document,
 				() -> this.proof.ageMs(this.boot.nowMs()));
-		AcceptedConnections ofPeers = accept("peers", PEERS_DIVISOR);
-		listen(this.settings.peers(),
-				(channel) -> ofPeers.initialize(channel, (connection) -> new PeerRequestSelector(documents,
-						() -> new CallerConnection(this, connection, true))));
+		this.listeners.listenForPeers(this.settings.peers(),
+				(connection) -> new PeerRequestSelector(documents, () -> new CallerConnection(this, connection, true)));
 		announce();
 		this.crashGuard.start();
 		this.loop.schedule(this.callersPort::close, CallersPort.MAX_WAIT_MS, TimeUnit.MILLISECONDS);
 		this.sweptAtMs = bootMs();
 		this.loop.scheduleAtFixedRate(this::sweep, SWEEP_INTERVAL_MS, SWEEP_INTERVAL_MS, TimeUnit.MILLISECONDS);
 		ReadyHandler ready = new ReadyHandler(this.dialect.readyPath(), this::ready, this.metrics);
-		listenForChecks("ready", this.settings.ready(), ready);
+		this.listeners.listenForChecks("ready", this.settings.ready(), ready);
 		if (this.settings.metrics() != null) {
-			listenForChecks("metrics", this.settings.metrics(), ready);
+			this.listeners.listenForChecks("metrics", this.settings.metrics(), ready);
 		}
 		logger.atInfo()
 			.log("event=started name=%s domain=%s callers=%s", this.settings.name(), this.settings.failureDomain(),
@@ -290,7 +262,8 @@
 	// arrived a tenth of a second earlier would only be refused.
 	private void listenWhenInitialized() {
 		if (this.callerListener == null && !stopping() && initialized()) {
-			this.callerListener = listenForCallers();
+			this.callerListener = this.listeners.listenForCallers(this.callersPort, this.settings.callers(),
+					(connection) -> new CallerConnection(this, connection, false));
 			logger.atInfo()
 				.log("event=listening version=%d upstreams=%d", configuration().version(), this.directory.size());
 		}
@@ -340,14 +313,6 @@
 		this.layerReconciler.plan();
 	}
 
-	private AcceptedConnections accept(String port, int divisor) {
-		int sockets = Math.max(0, this.settings.maxDescriptors() - FILE_DESCRIPTORS);
-		AcceptedConnections connections = new AcceptedConnections(this, this.callerMemory, port,
-				Math.max(1, sockets / divisor));
-		this.accepted.add(connections);
-		return connections;
-	}
-
 	private void shedForMemory(MemoryBudget.Holder.State state, long bytes, long usedBytes, long limitBytes) {
 		this.metrics.callerShed("memory");
 		logger.atWarning()
@@ -356,57 +321,6 @@
 					usedBytes, limitBytes);
 	}
 
-	private void listenForChecks(String name, InetSocketAddress address, ReadyHandler handler) {
-		AcceptedConnections connections = accept(name, READY_DIVISOR);
-		listen(address, (channel) -> connections.initialize(channel, (connection) -> handler));
-	}
-
-	private Channel listenForCallers() {
-		AcceptedConnections ofCallers = accept("callers", CALLERS_DIVISOR);
-		Consumer<SocketChannel> initializer = (channel) -> ofCallers.initialize(channel,
-				(connection) -> new CallerConnection(this, connection, false));
-		return this.callersPort.take(this.settings.callers())
-			.map((bound) -> serve(
-					server(initializer).channelFactory(() -> new NioServerSocketChannel(bound)).register(),
-					this.settings.callers()))
-			.orElseGet(() -> listen(this.settings.callers(), initializer));
-	}
-
-	private Channel listen(InetSocketAddress address, Consumer<SocketChannel> initializer) {
-		ServerBootstrap server = server(initializer).channel(NioServerSocketChannel.class)
-			.option(ChannelOption.SO_BACKLOG, CallersPort.BACKLOG)
-			.option(ChannelOption.SO_RCVBUF, CallersPort.RECEIVE_BUFFER_BYTES)
-			.option(ChannelOption.SO_REUSEADDR, true);
-		return serve(server.bind(address), address);
-	}
-
-	private ServerBootstrap server(Consumer<SocketChannel> initializer) {
-		ChannelHandler children = new ChannelInitializer<SocketChannel>() {
-
-			@Override
-			protected void initChannel(SocketChannel channel) {
-				initializer.accept(channel);
-			}
-
-		};
-		return new ServerBootstrap().group(this.loop)
-			.childOption(ChannelOption.TCP_NODELAY, true)
-			.childOption(ChannelOption.RCVBUF_ALLOCATOR, BoundedReads.allocator())
-			.childOption(ChannelOption.SO_KEEPALIVE, true)
-			.childHandler(children);
-	}
-
-	private Channel serve(ChannelFuture binding, InetSocketAddress address) {
-		binding.addListener((bound) -> {
-			if (!bound.isSuccess()) {
-				logger.atSevere().withCause(bound.cause()).log("event=listen-failed address=%s", address);
-				this.onFatal.run();
-			}
-		});
-		this.closer.register(() -> binding.channel().close());
-		return binding.channel();
-	}
-
 	/**
 	 * Stops the router: reports that it is not ready, lets requests in progress continue,
 	 * and allows the process to exit once none is in progress.
@@ -448,7 +362,7 @@
 		// Callers may have gone on while this process was not run.
 		this.sweepDelayed = late && !this.sweepDelayed;
 		if (!this.sweepDelayed) {
-			this.accepted.forEach(AcceptedConnections::sweep);
+			this.listeners.sweep();
 		}
 		this.metrics.state("version", (configuration() != null) ? configuration().version() : -1);
 		this.metrics.state("proof_age_ms", this.proof.ageMs(this.boot.nowMs()));
