A failure that is kept for another attempt is charged to its request

Up to 1 MB of an upstream's failure is kept while another attempt runs, and was not counted after the attempt that got it: the bound held for each request, not for all together. It counts until the end of the request.

A share is given back with the close of its channel, also where the channel never became active.

--- a/whinjunction-router/src/main/java/io/whinjunction/router/AcceptedConnection.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/AcceptedConnection.java
@@ -63,6 +63,7 @@
 		this.lastActivityMs = port.nowMs();
 		this.share = budget.open(this);
 		this.share.set(MemoryShare.Use.CONNECTION, CONNECTION_BYTES);
+		channel.closeFuture().addListener((closed) -> this.share.close());
 	}
 
 	StrictRequestDecoder decoder() {
@@ -91,7 +92,6 @@
 	public void channelInactive(ChannelHandlerContext context) {
 		this.port.closed(this);
 		context.fireChannelInactive();
-		this.share.close();
 	}
 
 	@Override
--- a/whinjunction-router/src/main/java/io/whinjunction/router/CallerConnection.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/CallerConnection.java
@@ -161,10 +161,10 @@
 	}
 
 	/**
-	 * Charges what the current request holds of its body.
-	 * @param bytes what the body takes, in bytes
+	 * Charges what the current request holds beside its head.
+	 * @param bytes what it takes, in bytes
 	 */
-	void holdBody(long bytes) {
+	void hold(long bytes) {
 		this.accepted.share().set(MemoryShare.Use.REQUEST, this.accepted.decoder().headBytes() + bytes);
 	}
 
@@ -230,7 +230,7 @@
 		ForwardSession begun = new ForwardSession(this.router, this, this.router.dialect().callerRequest(head),
 				HttpUtil.getContentLength(head, -1L), this.ofPeer ? origin : Optional.empty());
 		this.session = begun;
-		holdBody(0);
+		hold(0);
 		// The request may be refused at once, as callers hold too much.
 		if (this.session == begun) {
 			begun.start();
--- a/whinjunction-router/src/main/java/io/whinjunction/router/ForwardSession.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/ForwardSession.java
@@ -212,13 +212,13 @@
 			return;
 		}
 		if (this.body.keep(content)) {
-			this.caller.holdBody(this.body.heapBytes());
+			chargeHeld();
 			return;
 		}
 		if (this.body.passThrough()) {
 			tryFirst();
 		}
-		this.caller.holdBody(this.body.heapBytes());
+		chargeHeld();
 		if (this.done) {
 			return;
 		}
@@ -230,6 +230,11 @@
 		}
 	}
 
+	private void chargeHeld() {
+		int failureBytes = (this.failedAnswer != null) ? this.failedAnswer.body().capacity() : 0;
+		this.caller.hold(this.body.heapBytes() + failureBytes);
+	}
+
 	private void onBodyTooLarge() {
 		if (this.answerBegun) {
 			end("broken", "too-large");
@@ -246,7 +251,7 @@
 	 */
 	void holdBody(ByteBuf content) {
 		this.body.hold(content);
-		this.caller.holdBody(this.body.heapBytes());
+		chargeHeld();
 		readBody(false);
 	}
 
@@ -966,6 +971,7 @@
 	void onFailedAnswer(Answer answer) {
 		survived();
 		this.failedAnswer = answer;
+		chargeHeld();
 		onAttemptOutcome(new AttemptOutcome.Failed("status-" + answer.status().code()), null);
 	}
 
