--- a/whinjunction-core/src/main/java/io/whinjunction/forward/FleetRetryBudget.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/forward/FleetRetryBudget.java
@@ -114,6 +114,17 @@
 		return this.bucketMs;
 	}
 
+	/**
+	 * Returns what is counted now.
+	 * @param nowMs the current time
+	 * @param routers the number of routers
+	 * @return the counts of the window, and the retries left
+	 */
+	public Usage usage(long nowMs, int routers) {
+		return new Usage(this.requests.sum(nowMs), this.retries.sum(nowMs), this.loans.sum(nowMs),
+				left(nowMs, routers));
+	}
+
 	private double left(long nowMs, int routers) {
 		double share = this.slack / (SLACK_DIVISOR * Math.max(1, routers));
 		return RATIO_MARGIN * this.ratio * this.requests.sum(nowMs)
@@ -130,4 +141,15 @@
 		this.retries.takeBack(nowMs);
 	}
 
+	/**
+	 * What a process counts of one service in a window. Immutable.
+	 *
+	 * @param requests the requests of its callers
+	 * @param retries the retries that it sent
+	 * @param loans the retries that it lent to others
+	 * @param left the retries that it may still grant
+	 */
+	public record Usage(int requests, int retries, int loans, double left) {
+	}
+
 }
--- a/whinjunction-router/src/main/java/io/whinjunction/router/ForwardSession.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/ForwardSession.java
@@ -190,7 +190,7 @@
 		}
 		long nowMs = this.router.nowMs();
 		if (this.relayedFor == null) {
-			this.router.budget(this.service.name()).requested(nowMs);
+			this.router.retries().requested(this.service.name());
 		}
 		long maxWaitMs = (this.request.maxWaitMs() >= 0) ? this.request.maxWaitMs() : DEFAULT_MAX_WAIT_MS;
 		this.deadlineMs = nowMs + maxWaitMs;
@@ -759,7 +759,7 @@
 			this.history.recordNotSent();
 		}
 		if (returnable) {
-			this.router.budget(this.service.name()).returnRepeat(this.router.nowMs());
+			this.router.retries().returned(this.service.name());
 		}
 		this.history.recordEnd(stalled.target().first().incarnation(), end);
 		begin();
@@ -799,26 +799,20 @@
 	// Only an answer that has begun borrows: otherwise a refusal is true, and its caller
 	// can go elsewhere.
 	private boolean repeatGranted() {
-		boolean own = this.router.budget(this.service.name())
-			.tryRepeat(this.router.nowMs(), this.router.peers().routerCount(this.router.nowMs()));
-		if (own) {
+		if (this.router.retries().acquireOwn(this.service.name())) {
 			this.borrowed = false;
 			return true;
 		}
 		if (!this.answerBegun) {
 			return false;
 		}
-		if (this.router.retryLoans().use(this.service.name())) {
-			this.borrowed = true;
-			return true;
-		}
-		this.router.retryLoans().ask(this.service.name());
-		return false;
+		this.borrowed = this.router.retries().acquireBorrowed(this.service.name());
+		return this.borrowed;
 	}
 
 	private void returnRepeat() {
 		if (this.repeat && !this.borrowed) {
-			this.router.budget(this.service.name()).returnRepeat(this.router.nowMs());
+			this.router.retries().returned(this.service.name());
 			this.repeat = false;
 		}
 	}
--- a/whinjunction-router/src/main/java/io/whinjunction/router/PeerMessageHandler.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/PeerMessageHandler.java
@@ -143,12 +143,12 @@
 
 	@Override
 	public boolean lendsRetry(PeerMessage.RetryQuestion question) {
-		return this.router.retryLoans().lend(question);
+		return this.router.retries().lend(question);
 	}
 
 	@Override
 	public void onRetryAnswer(PeerMessage.RetryAnswer answer) {
-		this.router.retryLoans().answered(answer);
+		this.router.retries().answered(answer);
 	}
 
 }
--- a/whinjunction-router/src/main/java/io/whinjunction/router/RetryLoans.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/RetryLoans.java
@@ -4,9 +4,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.BiConsumer;
+import java.util.function.Function;
 
 import com.google.common.flogger.FluentLogger;
 import io.whinjunction.forward.BorrowedRetries;
+import io.whinjunction.forward.FleetRetryBudget;
 import io.whinjunction.routing.RoutingConfiguration;
 
 /**
@@ -25,6 +27,8 @@
 
 	private final RouterContext router;
 
+	private final Function<String, FleetRetryBudget> budgets;
+
 	private final BiConsumer<String, PeerMessage.RetryQuestion> sender;
 
 	/** By service. */
@@ -32,11 +36,14 @@
 
 	/**
 	 * Creates the loans without any.
-	 * @param router the clocks, the peers and the budgets
+	 * @param router the clocks and the peers
+	 * @param budgets returns this router's share of the retries to a service
 	 * @param sender sends a question to the address of a peer
 	 */
-	RetryLoans(RouterContext router, BiConsumer<String, PeerMessage.RetryQuestion> sender) {
+	RetryLoans(RouterContext router, Function<String, FleetRetryBudget> budgets,
+			BiConsumer<String, PeerMessage.RetryQuestion> sender) {
 		this.router = router;
+		this.budgets = budgets;
 		this.sender = sender;
 	}
 
@@ -68,7 +75,7 @@
 
 	private BorrowedRetries borrowed(String service) {
 		return this.borrowed.computeIfAbsent(service,
-				(name) -> new BorrowedRetries(this.router.budget(name).loanValidityMs(), this.router.random()));
+				(name) -> new BorrowedRetries(this.budgets.apply(name).loanValidityMs(), this.router.random()));
 	}
 
 	/**
@@ -98,7 +105,7 @@
 		}
 		long nowMs = this.router.nowMs();
 		int routers = Math.max(question.routers(), this.router.peers().routerCount(nowMs));
-		boolean lent = this.router.budget(service).lend(nowMs, routers);
+		boolean lent = this.budgets.apply(service).lend(nowMs, routers);
 		if (lent) {
 			this.router.metrics().retryLoan("lent");
 			logger.atInfo().log("event=retry-lent service=%s", service);
--- a/whinjunction-router/src/main/java/io/whinjunction/router/Router.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/Router.java
@@ -1,9 +1,7 @@
 package io.whinjunction.router;
 
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -13,7 +11,6 @@
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
-import io.whinjunction.forward.FleetRetryBudget;
 import io.whinjunction.memory.MemoryBudget;
 import io.whinjunction.proof.ConfigurationProof;
 import io.whinjunction.reachability.Reachability;
@@ -73,8 +70,6 @@
 
 	private final Ticker ticker = Ticker.system();
 
-	private final long startedMs = this.ticker.nowMs();
-
 	private final MemoryBudget callerMemory = MemoryBudget.ofHeap(this::shedForMemory);
 
 	private final BufferedAnswers bufferedAnswers = new BufferedAnswers(this.callerMemory);
@@ -121,9 +116,7 @@
 
 	private final LayerReconciler layerReconciler;
 
-	private final Map<String, FleetRetryBudget> budgets = new HashMap<>();
-
-	private final RetryLoans retryLoans;
+	private final RetryBudgets retries;
 
 	private final Set<CallerConnection> callers = new HashSet<>();
 
@@ -198,7 +191,7 @@
 		this.peerLink = new PeerLink(this, this.peers,
 				new PeerMessageHandler(this, settings, this.configurationSynchronizer, this.directorySynchronizer,
 						this.layerReconciler, this.leadership, ports.store().era()));
-		this.retryLoans = new RetryLoans(this, this.peerLink::requestRetry);
+		this.retries = new RetryBudgets(this, settings.bounds(), this.peerLink::requestRetry);
 		ports.store().era().onRestore(this::storeRestored);
 	}
 
@@ -358,6 +351,7 @@
 		this.pool.sweep();
 		this.crashGuard.sweep();
 		this.limits.sweep();
+		this.retries.sweep();
 		this.availability.sweep();
 		// Callers may have gone on while this process was not run.
 		this.sweepDelayed = late && !this.sweepDelayed;
@@ -449,15 +443,8 @@
 	}
 
 	@Override
-	public FleetRetryBudget budget(String service) {
-		RouterSettings.Bounds bounds = this.settings.bounds();
-		return this.budgets.computeIfAbsent(service, (name) -> new FleetRetryBudget(bounds.repeatRatio(),
-				bounds.repeatSlack(), bounds.repeatWindowMs(), this.startedMs));
-	}
-
-	@Override
-	public RetryLoans retryLoans() {
-		return this.retryLoans;
+	public RetryBudgets retries() {
+		return this.retries;
 	}
 
 	@Override
--- a/whinjunction-router/src/main/java/io/whinjunction/router/RouterContext.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/RouterContext.java
@@ -5,7 +5,6 @@
 import java.util.random.RandomGenerator;
 
 import io.netty.channel.EventLoop;
-import io.whinjunction.forward.FleetRetryBudget;
 import io.whinjunction.proof.ConfigurationProof;
 import io.whinjunction.routing.RoutingConfiguration;
 
@@ -82,17 +81,10 @@
 	Dialect dialect();
 
 	/**
-	 * Returns this process's share of the repeats to a service.
-	 * @param service the service
-	 * @return its budget
+	 * Returns this process's share of the retries to each service.
+	 * @return the budgets
 	 */
-	FleetRetryBudget budget(String service);
-
-	/**
-	 * Returns the repeats that routers lend to each other.
-	 * @return the loans
-	 */
-	RetryLoans retryLoans();
+	RetryBudgets retries();
 
 	/**
 	 * Returns the guard that refuses requests that crash upstreams.
--- a/whinjunction-router/src/main/java/io/whinjunction/router/RouterMetrics.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/RouterMetrics.java
@@ -11,8 +11,8 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 
 /**
- * The router's metrics. Label sets are bounded: outcomes and a few fixed words, never a
- * request, a caller or an upstream. Thread-safe.
+ * The router's metrics. Label sets are bounded: outcomes, a few fixed words and the
+ * services of the configuration, never a request, a caller or an upstream. Thread-safe.
  * <p>
  * No metric samples exemplars: nothing here sets the trace that they would refer to, and
  * the sampling has a thread and timers of its own.
@@ -42,6 +42,13 @@
 		.labelNames("event")
 		.register(this.registry);
 
+	private final Counter retryBudgets = Counter.builder()
+		.name("whin_router_retry_budget_total")
+		.help("What this router's share of the retries to a service was used for, by event: request, granted, denied, borrowed, returned, lent")
+		.withoutExemplars()
+		.labelNames("service", "event")
+		.register(this.registry);
+
 	private final Counter relays = Counter.builder()
 		.name("whin_router_relays_total")
 		.help("Requests that this router handed to peers since it did not reach upstreams, by end")
@@ -96,7 +103,7 @@
 
 	private final Gauge state = Gauge.builder()
 		.name("whin_router_state")
-		.help("State by kind: version, proof_age_ms, list_age_ms, store_era, upstreams, callers, crashing_requests, limited_upstreams, backing_off_upstreams, waiting_streams, cut_off_services, relayed_for_peers, loop_late_ms, caller_memory_bytes, leading, layer_moves, class_archive, log_lines_dropped")
+		.help("State by kind: version, proof_age_ms, list_age_ms, store_era, upstreams, callers, crashing_requests, limited_upstreams, backing_off_upstreams, waiting_streams, cut_off_services, relayed_for_peers, loop_late_ms, caller_memory_bytes, leading, layer_moves, class_archive, log_lines_dropped, routers, process_age_ms")
 		.withoutExemplars()
 		.labelNames("kind")
 		.register(this.registry);
@@ -136,6 +143,15 @@
 		this.retryLoans.labelValues(event).inc();
 	}
 
+	/**
+	 * Counts an event of this router's share of the retries to a service.
+	 * @param service the service, one of the configuration
+	 * @param event what happened, one of a few words
+	 */
+	void retryBudget(String service, String event) {
+		this.retryBudgets.labelValues(service, event).inc();
+	}
+
 	/**
 	 * Counts a request that was handed to a peer.
 	 * @param end how it ended there, one of a few words
--- a/whinjunction-router/src/test/java/io/whinjunction/router/RetryLoansTests.java
+++ b/whinjunction-router/src/test/java/io/whinjunction/router/RetryLoansTests.java
@@ -128,14 +128,13 @@
 					case "random" -> random;
 					case "metrics" -> metrics;
 					case "configuration" -> configuration;
-					case "budget" -> budgets.computeIfAbsent(args[0],
-							(service) -> new FleetRetryBudget(0.2, SLACK, 10_000, -20_000));
 					default -> throw new IllegalStateException(method.getName());
 				});
-		return new RetryLoans(context, (address, question) -> {
-			this.asked.add(address);
-			this.questions.add(question);
-		});
+		return new RetryLoans(context, (service) -> budgets.computeIfAbsent(service,
+				(name) -> new FleetRetryBudget(0.2, SLACK, 10_000, -20_000)), (address, question) -> {
+					this.asked.add(address);
+					this.questions.add(question);
+				});
 	}
 
 }
