--- a/whinjunction-core/src/test/java/io/whinjunction/forward/FleetRetryBudgetTests.java
+++ b/whinjunction-core/src/test/java/io/whinjunction/forward/FleetRetryBudgetTests.java
@@ -5,6 +5,7 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Random;
+import java.util.stream.LongStream;
 
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -88,6 +89,83 @@
 		assertThat(retries[0]).isLessThanOrEqualTo((int) (RATIO * requests[0] + SLACK));
 	}
 
+	// Guards against processes that earn retries anew at each start: a fleet under full
+	// load, all or some of whose processes are killed once or several times within a
+	// window, while most requests fail.
+	@Property(tries = 40)
+	@Tag("known-red")
+	void theSumOfAllRoutersStaysWithinTheBoundAmidRestartsUnderLoad(@ForAll long seed) {
+		Random random = new Random(seed);
+		int size = 4 + random.nextInt(17);
+		int perSecond = 50 + random.nextInt(450);
+		List<FleetRetryBudget> routers = new ArrayList<>();
+		for (int index = 0; index < size; index++) {
+			routers.add(new FleetRetryBudget(RATIO, SLACK, WINDOW_MS, START));
+		}
+		long failsFromMs = 20_000 + random.nextInt(5000);
+		long[] restartsMs = random.longs(1 + random.nextInt(5), failsFromMs, failsFromMs + WINDOW_MS).toArray();
+		double restarted = 0.3 + 0.7 * random.nextDouble();
+		Deque<Long> requests = new ArrayDeque<>();
+		Deque<Long> retries = new ArrayDeque<>();
+		double due = 0;
+		for (long nowMs = 0; nowMs < failsFromMs + 3 * WINDOW_MS; nowMs += 10) {
+			long startedMs = nowMs;
+			if (LongStream.of(restartsMs).anyMatch((atMs) -> atMs / 10 == startedMs / 10)) {
+				routers.replaceAll((router) -> (random.nextDouble() < restarted)
+						? new FleetRetryBudget(RATIO, SLACK, WINDOW_MS, startedMs) : router);
+			}
+			for (due += perSecond / 100.0; due >= 1; due--) {
+				FleetRetryBudget router = routers.get(random.nextInt(size));
+				router.requested(nowMs);
+				requests.add(nowMs);
+				for (int retry = 0; retry < 2 && nowMs >= failsFromMs && router.tryRepeat(nowMs, size); retry++) {
+					retries.add(nowMs);
+				}
+			}
+			assertThat(within(retries, nowMs)).isLessThanOrEqualTo(bound(requests, nowMs));
+		}
+	}
+
+	private static int bound(Deque<Long> requests, long nowMs) {
+		requests.removeIf((atMs) -> atMs <= nowMs - 2 * WINDOW_MS);
+		int most = Math.max(within(requests, nowMs),
+				Math.max(within(requests, nowMs - WINDOW_MS), within(requests, nowMs - WINDOW_MS / 2)));
+		return (int) (RATIO * most + SLACK);
+	}
+
+	private static int within(Deque<Long> timesMs, long endMs) {
+		return (int) timesMs.stream().filter((atMs) -> atMs > endMs - WINDOW_MS && atMs <= endMs).count();
+	}
+
+	// Guards against a retry that arrived and is counted no more, as another one, granted
+	// earlier, reached nobody and was given back.
+	@Test
+	@Tag("known-red")
+	void aReturnedRetryDoesNotTakeTheCountOfAnother() {
+		FleetRetryBudget budget = new FleetRetryBudget(0, 3, WINDOW_MS, START);
+		assertThat(budget.tryRepeat(0, 1)).isTrue();
+		assertThat(budget.tryRepeat(5000, 1)).isTrue();
+
+		budget.returnRepeat(5000);
+
+		assertThat(budget.tryRepeat(5000, 1)).as("the one that was returned").isTrue();
+		assertThat(budget.tryRepeat(12_000, 1)).as("two were sent at 5 s").isFalse();
+	}
+
+	// Guards against retries that were granted in several windows and arrive together, as
+	// their upstream did not accept connections meanwhile.
+	@Test
+	@Tag("known-red")
+	void retriesThatHaveNotArrivedYetAreCountedUntilTheyDo() {
+		FleetRetryBudget budget = new FleetRetryBudget(0, 3, WINDOW_MS, START);
+		int underWay = 0;
+		for (long nowMs = 0; nowMs < 3 * WINDOW_MS; nowMs += 100) {
+			underWay += budget.tryRepeat(nowMs, 1) ? 1 : 0;
+		}
+
+		assertThat(underWay).isEqualTo(2);
+	}
+
 	@Test
 	void aSingleFailureIsRetriedAtOnce() {
 		FleetRetryBudget budget = new FleetRetryBudget(RATIO, SLACK, WINDOW_MS, 0);
--- a/whinjunction-router/src/test/java/io/whinjunction/router/PeerTableTests.java
+++ b/whinjunction-router/src/test/java/io/whinjunction/router/PeerTableTests.java
@@ -11,6 +11,7 @@
 import io.whinjunction.forward.PartHistory;
 import io.whinjunction.forward.PromptPart;
 import io.whinjunction.forward.RequestFingerprint;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -20,6 +21,9 @@
  */
 class PeerTableTests {
 
+	/** Routers that a status names, and that are not heard themselves. */
+	private static final int ADVERTISED = 1;
+
 	private final PeerTable table = new PeerTable("10.0.0.1:1", new Random(1));
 
 	// Guards against a revoked key that keeps working at a router that is cut off from
@@ -62,6 +66,33 @@
 		assertThat(this.table.activeCount(0)).isZero();
 	}
 
+	// Guards against a router that is cut off from its peers and takes their shares once
+	// it has forgotten them.
+	@Test
+	@Tag("known-red")
+	void aRouterThatIsCutOffFromItsPeersStillCountsThemAfterMinutes() {
+		this.table.update(status("10.0.0.2:1", 1, true, 0), 0);
+		this.table.update(status("10.0.0.3:1", 1, true, 0), 3000);
+		this.table.update(status("10.0.0.4:1", 1, true, 0), 6000);
+
+		for (long nowMs = 7000; nowMs < 600_000; nowMs += 1000) {
+			assertThat(this.table.routerCount(nowMs)).isEqualTo(ADVERTISED + 4);
+		}
+	}
+
+	@Test
+	void aRouterThatIsGoneIsForgottenWhileTheOthersAreHeard() {
+		for (long nowMs = 0; nowMs < 120_000; nowMs += 1000) {
+			this.table.update(status("10.0.0.2:1", 1, true, 0), nowMs);
+			this.table.update(status("10.0.0.3:1", 1, true, 0), nowMs);
+			if (nowMs < 10_000) {
+				this.table.update(status("10.0.0.4:1", 1, true, 0), nowMs);
+			}
+		}
+
+		assertThat(this.table.routerCount(120_000)).isEqualTo(ADVERTISED + 3);
+	}
+
 	@Test
 	void aSilentRouterIsNoLeader() {
 		this.table.update(status("10.0.0.2:1", 1, true, 0), 0);
