A retry counts until it has arrived, and is given back to its own count

A retry counted from its grant, so that retries granted in several windows could arrive in one, as their upstream accepted nothing meanwhile; one that reached nobody was taken from the newest bucket, so that another one, which had arrived, was no longer counted. A grant is an object now that its attempt ends once: it is counted while it may still arrive and for a window after that, or given back to the count that it was taken from. Whatever ends an attempt ends its grant, which was spread over five places of ForwardSession. A loan that arrives late is counted by its borrower.

--- a/whinjunction-core/src/main/java/io/whinjunction/forward/FleetRetryBudget.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/forward/FleetRetryBudget.java
@@ -1,5 +1,7 @@
 package io.whinjunction.forward;
 
+import java.util.Optional;
+
 /**
  * This process's share of the retries that all routers together may send to one service.
  * <p>
@@ -48,10 +50,14 @@
 
 	private final SlidingCount requests;
 
+	/** The retries that can't arrive any more, by when that was found out. */
 	private final SlidingCount retries;
 
 	private final SlidingCount loans;
 
+	/** The retries that were granted and may still arrive. */
+	private int open;
+
 	/**
 	 * Creates a share of the budget.
 	 * @param ratio the retries per request, over all routers
@@ -81,14 +87,23 @@
 	 * Acquires one retry if the budget allows it.
 	 * @param nowMs the current time
 	 * @param routers the number of routers
-	 * @return whether the retry is granted
+	 * @return the retry, or empty if it is not granted
 	 */
-	public boolean tryRepeat(long nowMs, int routers) {
+	public Optional<Retry> acquire(long nowMs, int routers) {
 		if (left(nowMs, routers) < 1) {
-			return false;
+			return Optional.empty();
 		}
-		this.retries.add(nowMs, 1);
-		return true;
+		this.open++;
+		return Optional.of(new Retry(true, nowMs));
+	}
+
+	/**
+	 * Records that a retry is used that another process has lent, and counts.
+	 * @param nowMs the current time
+	 * @return the retry
+	 */
+	public Retry useLoan(long nowMs) {
+		return new Retry(false, nowMs);
 	}
 
 	/**
@@ -121,24 +136,72 @@
 	 * @return the counts of the window, and the retries left
 	 */
 	public Usage usage(long nowMs, int routers) {
-		return new Usage(this.requests.sum(nowMs), this.retries.sum(nowMs), this.loans.sum(nowMs),
+		return new Usage(this.requests.sum(nowMs), this.retries.sum(nowMs), this.open, this.loans.sum(nowMs),
 				left(nowMs, routers));
 	}
 
 	private double left(long nowMs, int routers) {
 		double share = this.slack / (SLACK_DIVISOR * Math.max(1, routers));
 		return RATIO_MARGIN * this.ratio * this.requests.sum(nowMs)
-				+ Math.floor((nowMs < this.wholeShareAtMs) ? STARTED_RATIO * share : share) - this.retries.sum(nowMs)
-				- this.loans.sum(nowMs);
+				+ Math.floor((nowMs < this.wholeShareAtMs) ? STARTED_RATIO * share : share) - this.open
+				- this.retries.sum(nowMs) - this.loans.sum(nowMs);
 	}
 
 	/**
-	 * Returns a retry that reached no upstream, unless none was acquired in the current
-	 * bucket.
-	 * @param nowMs the current time
+	 * One retry. It is counted as long as it may still arrive at an upstream, and for a
+	 * window after that, so that retries that were granted in several windows do not
+	 * arrive in one. Confined to the event loop.
 	 */
-	public void returnRepeat(long nowMs) {
-		this.retries.takeBack(nowMs);
+	public final class Retry {
+
+		/** Whether it was taken from the share of this process. */
+		private final boolean own;
+
+		private final long grantedMs;
+
+		private boolean ended;
+
+		private Retry(boolean own, long grantedMs) {
+			this.own = own;
+			this.grantedMs = grantedMs;
+		}
+
+		/**
+		 * Records that it has arrived at an upstream, or can't arrive any more. Has no
+		 * effect after the first end.
+		 * @param nowMs the current time
+		 */
+		public void settle(long nowMs) {
+			if (this.ended) {
+				return;
+			}
+			end();
+			// The lender counts a loan no longer than it would take to arrive.
+			if (this.own || nowMs - this.grantedMs > FleetRetryBudget.this.bucketMs) {
+				FleetRetryBudget.this.retries.add(nowMs, 1);
+			}
+		}
+
+		/**
+		 * Gives it back, as it has reached no upstream. Has no effect after the first
+		 * end.
+		 * @return whether this process can use it again
+		 */
+		public boolean giveBack() {
+			boolean usable = !this.ended && this.own;
+			if (!this.ended) {
+				end();
+			}
+			return usable;
+		}
+
+		private void end() {
+			this.ended = true;
+			if (this.own) {
+				FleetRetryBudget.this.open--;
+			}
+		}
+
 	}
 
 	/**
@@ -146,10 +209,11 @@
 	 *
 	 * @param requests the requests of its callers
 	 * @param retries the retries that it sent
+	 * @param open the retries that may still arrive
 	 * @param loans the retries that it lent to others
 	 * @param left the retries that it may still grant
 	 */
-	public record Usage(int requests, int retries, int loans, double left) {
+	public record Usage(int requests, int retries, int open, int loans, double left) {
 	}
 
 }
--- a/whinjunction-core/src/main/java/io/whinjunction/forward/SlidingCount.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/forward/SlidingCount.java
@@ -36,16 +36,6 @@
 		this.counts[index(this.newest)] += events;
 	}
 
-	/**
-	 * Takes an event back, unless the bucket in which it was counted is over.
-	 * @param nowMs the current time
-	 */
-	void takeBack(long nowMs) {
-		advance(nowMs);
-		int index = index(this.newest);
-		this.counts[index] = Math.max(0, this.counts[index] - 1);
-	}
-
 	/**
 	 * Returns the number of events that are counted now.
 	 * @param nowMs the current time
--- a/whinjunction-core/src/test/java/io/whinjunction/forward/BorrowedRetriesTests.java
+++ b/whinjunction-core/src/test/java/io/whinjunction/forward/BorrowedRetriesTests.java
@@ -105,9 +105,9 @@
 		long latestUseMs = lentMs + VALIDITY_MS - 1;
 		long nowMs = latestUseMs + WINDOW_MS;
 
-		assertThat(lender.tryRepeat(nowMs, 1)).isTrue();
-		assertThat(lender.tryRepeat(nowMs, 1)).isFalse();
-		assertThat(lender.tryRepeat(nowMs + 2 * VALIDITY_MS, 1)).isTrue();
+		assertThat(RetrySender.send(lender, nowMs, 1)).isTrue();
+		assertThat(RetrySender.send(lender, nowMs, 1)).isFalse();
+		assertThat(RetrySender.send(lender, nowMs + 2 * VALIDITY_MS, 1)).isTrue();
 	}
 
 	// Guards against a lender whose own next stream finds nothing left.
@@ -117,8 +117,8 @@
 
 		assertThat(lender.lend(0, 1)).isTrue();
 		assertThat(lender.lend(0, 1)).isFalse();
-		assertThat(lender.tryRepeat(0, 1)).isTrue();
-		assertThat(lender.tryRepeat(0, 1)).isFalse();
+		assertThat(RetrySender.send(lender, 0, 1)).isTrue();
+		assertThat(RetrySender.send(lender, 0, 1)).isFalse();
 	}
 
 }
--- a/whinjunction-core/src/test/java/io/whinjunction/forward/FleetRetryBudgetTests.java
+++ b/whinjunction-core/src/test/java/io/whinjunction/forward/FleetRetryBudgetTests.java
@@ -48,7 +48,7 @@
 			FleetRetryBudget router = routers.get(random.nextInt(8));
 			router.requested(nowMs);
 			requests.add(nowMs);
-			while (router.tryRepeat(nowMs, 8)) {
+			while (RetrySender.send(router, nowMs, 8)) {
 				retries.add(nowMs);
 			}
 			long from = nowMs - WINDOW_MS;
@@ -81,7 +81,7 @@
 			FleetRetryBudget router = routers.get(random.nextInt(8));
 			router.requested(nowMs);
 			requests[0] += (nowMs > restartMs - 500) ? 1 : 0;
-			while (fails && router.tryRepeat(nowMs, 8)) {
+			while (fails && RetrySender.send(router, nowMs, 8)) {
 				retries[0]++;
 			}
 		}
@@ -118,7 +118,8 @@
 				FleetRetryBudget router = routers.get(random.nextInt(size));
 				router.requested(nowMs);
 				requests.add(nowMs);
-				for (int retry = 0; retry < 2 && nowMs >= failsFromMs && router.tryRepeat(nowMs, size); retry++) {
+				for (int retry = 0; retry < 2 && nowMs >= failsFromMs
+						&& RetrySender.send(router, nowMs, size); retry++) {
 					retries.add(nowMs);
 				}
 			}
@@ -140,49 +141,69 @@
 	// Guards against a retry that arrived and is counted no more, as another one, granted
 	// earlier, reached nobody and was given back.
 	@Test
-	@Tag("known-red")
 	void aReturnedRetryDoesNotTakeTheCountOfAnother() {
 		FleetRetryBudget budget = new FleetRetryBudget(0, 3, WINDOW_MS, START);
-		assertThat(budget.tryRepeat(0, 1)).isTrue();
-		assertThat(budget.tryRepeat(5000, 1)).isTrue();
+		FleetRetryBudget.Retry returned = budget.acquire(0, 1).orElseThrow();
+		assertThat(RetrySender.send(budget, 5000, 1)).isTrue();
 
-		budget.returnRepeat(5000);
+		assertThat(returned.giveBack()).isTrue();
 
-		assertThat(budget.tryRepeat(5000, 1)).as("the one that was returned").isTrue();
-		assertThat(budget.tryRepeat(12_000, 1)).as("two were sent at 5 s").isFalse();
+		assertThat(RetrySender.send(budget, 5000, 1)).as("the one that was returned").isTrue();
+		assertThat(RetrySender.send(budget, 12_000, 1)).as("two were sent at 5 s").isFalse();
 	}
 
 	// Guards against retries that were granted in several windows and arrive together, as
 	// their upstream did not accept connections meanwhile.
 	@Test
-	@Tag("known-red")
 	void retriesThatHaveNotArrivedYetAreCountedUntilTheyDo() {
 		FleetRetryBudget budget = new FleetRetryBudget(0, 3, WINDOW_MS, START);
 		int underWay = 0;
 		for (long nowMs = 0; nowMs < 3 * WINDOW_MS; nowMs += 100) {
-			underWay += budget.tryRepeat(nowMs, 1) ? 1 : 0;
+			underWay += budget.acquire(nowMs, 1).isPresent() ? 1 : 0;
 		}
 
 		assertThat(underWay).isEqualTo(2);
 	}
 
+	@Test
+	void aRetryIsCountedForAWindowAfterItHasArrived() {
+		FleetRetryBudget budget = new FleetRetryBudget(0, 2, WINDOW_MS, START);
+		FleetRetryBudget.Retry late = budget.acquire(0, 1).orElseThrow();
+		late.settle(2 * WINDOW_MS);
+		late.settle(0);
+
+		assertThat(RetrySender.send(budget, 3 * WINDOW_MS - 1, 1)).isFalse();
+		assertThat(RetrySender.send(budget, 3 * WINDOW_MS + WINDOW_MS / 10, 1)).isTrue();
+	}
+
+	// Guards against a loan that its lender counts no more when it arrives late.
+	@Test
+	void aBorrowedRetryThatArrivesLateIsCountedByItsBorrower() {
+		FleetRetryBudget borrower = new FleetRetryBudget(0, 2, WINDOW_MS, START);
+		borrower.useLoan(0).settle(borrower.loanValidityMs());
+		assertThat(borrower.usage(0, 1).retries()).isZero();
+
+		borrower.useLoan(0).settle(borrower.loanValidityMs() + 1);
+		assertThat(borrower.usage(borrower.loanValidityMs() + 1, 1).retries()).isEqualTo(1);
+	}
+
 	@Test
 	void aSingleFailureIsRetriedAtOnce() {
 		FleetRetryBudget budget = new FleetRetryBudget(RATIO, SLACK, WINDOW_MS, 0);
 		budget.requested(0);
 
-		assertThat(budget.tryRepeat(0, 8)).isTrue();
+		assertThat(RetrySender.send(budget, 0, 8)).isTrue();
 	}
 
 	@Test
 	void theBudgetIsRestoredAfterTheWindow() {
 		FleetRetryBudget budget = new FleetRetryBudget(RATIO, 12, WINDOW_MS, START);
-		while (budget.tryRepeat(0, 8)) {
+		while (RetrySender.send(budget, 0, 8)) {
 			budget.requested(0);
 		}
 
-		assertThat(budget.tryRepeat(WINDOW_MS / 2, 8)).isFalse();
-		assertThat(budget.tryRepeat(2 * WINDOW_MS, 8)).isTrue();
+		assertThat(RetrySender.send(budget, WINDOW_MS / 2, 8)).isFalse();
+		assertThat(RetrySender.send(budget, 2 * WINDOW_MS, 8)).isTrue();
 	}
 
 }
--- a/whinjunction-core/src/test/java/io/whinjunction/forward/RetryLoanLoadTests.java
+++ b/whinjunction-core/src/test/java/io/whinjunction/forward/RetryLoanLoadTests.java
@@ -94,7 +94,7 @@
 	}
 
 	private void check(Node router, ResumePauses pauses) {
-		if (router.budget.tryRepeat(this.nowMs, ROUTERS)) {
+		if (RetrySender.send(router.budget, this.nowMs, ROUTERS)) {
 			this.inTime++;
 			return;
 		}
--- a/whinjunction-core/src/test/java/io/whinjunction/forward/RetryLoanPropertyTests.java
+++ b/whinjunction-core/src/test/java/io/whinjunction/forward/RetryLoanPropertyTests.java
@@ -116,7 +116,7 @@
 
 		private void retryAndBorrow(int index) {
 			Node router = this.routers.get(index);
-			while (router.budget.tryRepeat(this.nowMs, this.size)) {
+			while (RetrySender.send(router.budget, this.nowMs, this.size)) {
 				retried(router);
 			}
 			if (router.lender != null && this.random.nextInt(10) == 0) {
--- a/whinjunction-router/src/main/java/io/whinjunction/router/Attempt.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/Attempt.java
@@ -75,6 +75,8 @@
 
 	private final AttemptLoad load;
 
+	private final RetryGrant grant;
+
 	private UpstreamConnection connection;
 
 	/** Whether a connection, if it is acquired now, was waited for. */
@@ -120,9 +122,16 @@
 
 	private boolean ranWell;
 
-	Attempt(ForwardSession session, Target target) {
+	/**
+	 * Creates an attempt that has not started.
+	 * @param session the request
+	 * @param target the upstream or the peer
+	 * @param grant what the retry budget granted; ended by this attempt
+	 */
+	Attempt(ForwardSession session, Target target, RetryGrant grant) {
 		this.session = session;
 		this.target = target;
+		this.grant = grant;
 		this.first = target.first().incarnation();
 		this.load = new AttemptLoad(session.router().directory(), target, session.request().promptTokens(),
 				session.expectedTokens());
@@ -265,6 +274,7 @@
 	}
 
 	private void notSent(String reason) {
+		this.grant.giveBack();
 		this.session.history().recordNotSent();
 		end(new AttemptOutcome.NotSent(reason), null);
 	}
@@ -542,6 +552,7 @@
 		HttpHeaders headers = HopByHopHeaders.strip(response.headers());
 		switch (this.target) {
 			case Target.Direct direct -> {
+				this.grant.settle();
 				this.session.router().limits().received(this.first, received);
 				this.session.router().crashGuard().answered(this.first);
 				if (received.success()) {
@@ -551,6 +562,10 @@
 			case Target.Relay relay -> {
 				this.relayOutcome = RelayHeaders.outcome(headers);
 				this.sentByRelay = RelayHeaders.sent(headers);
+				// A peer that refuses the request may not have sent it.
+				if (this.relayOutcome != RelayHeaders.Outcome.NOT_RUN) {
+					this.grant.settle();
+				}
 				if (this.relayOutcome == RelayHeaders.Outcome.ANSWERED) {
 					this.session.router().reachability().relayed(this.session.service().name());
 				}
@@ -676,10 +691,7 @@
 	private void endUnanswered() {
 		String reason = "relay-status-" + this.head.status();
 		switch (this.relayOutcome) {
-			case NOT_RUN -> {
-				settle();
-				endNotRunByRelay(reason);
-			}
+			case NOT_RUN -> endNotRunByRelay(reason);
 			case DENIED -> {
 				settle();
 				this.session.onDenied(this.answer);
@@ -740,9 +752,9 @@
 			return;
 		}
 		this.session.events().dropPartial();
-		settle();
 		switch (this.target) {
 			case Target.Direct direct -> {
+				settle();
 				boolean refused = this.head != null && this.head.notRun();
 				if (connectionEnded && !refused) {
 					this.session.router().reachability().silent(direct.first(), this.session.router().nowMs());
@@ -757,6 +769,7 @@
 					endNotRunByRelay(reason);
 				}
 				else {
+					settle();
 					this.session.onAttemptOutcome(new AttemptOutcome.Unknown(reason), null);
 				}
 			}
@@ -793,6 +806,12 @@
 			return;
 		}
 		this.ended = true;
+		if (this.sent) {
+			this.grant.settle();
+		}
+		else {
+			this.grant.giveBack();
+		}
 		if (this.target instanceof Target.Relay) {
 			this.session.router().relays().ended(this);
 			this.session.router()
--- a/whinjunction-router/src/main/java/io/whinjunction/router/ForwardSession.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/ForwardSession.java
@@ -108,11 +108,8 @@
 	 */
 	private RetryObstacle obstacle;
 
-	/** Whether the newest attempt was taken from the retry budget. */
-	private boolean repeat;
-
-	/** Whether the newest repeat was lent by another router. */
-	private boolean borrowed;
+	/** What the retry budget granted to the next attempt. */
+	private RetryGrant grant = RetryGrant.NOT_NEEDED;
 
 	/** When the last relay that refused the request may take it, in milliseconds. */
 	private long relayRetryAfterMs;
@@ -280,9 +277,6 @@
 	/** Handles the close of the caller's connection: nobody waits for the answer. */
 	void onCallerGone() {
 		if (!this.done) {
-			if (this.attempt != null && !this.attempt.sent()) {
-				returnRepeat();
-			}
 			end(RequestLog.GONE, "caller-gone");
 		}
 	}
@@ -298,7 +292,6 @@
 	/** Refuses the request, which was not sent, as callers hold too much memory. */
 	void onNoMemory() {
 		if (unsent()) {
-			returnRepeat();
 			finish("refused", "memory", Answer.refusal("callers hold too much memory", MEMORY_RETRY_AFTER_MS));
 		}
 	}
@@ -478,21 +471,27 @@
 		if (target.isEmpty()) {
 			return Optional.of(RetryObstacle.NO_UPSTREAM);
 		}
-		if (repeat && !repeatGranted()) {
+		// Only an answer that has begun borrows: otherwise a refusal is true, and its
+		// caller can go elsewhere.
+		Optional<RetryGrant> granted = repeat ? this.router.retries().acquire(this.service.name(), this.answerBegun)
+				: Optional.of(RetryGrant.NOT_NEEDED);
+		if (granted.isEmpty()) {
 			return Optional.of(RetryObstacle.NO_BUDGET);
 		}
 		this.lastTarget = target.get();
-		this.repeat = repeat;
+		this.grant = granted.get();
 		return Optional.empty();
 	}
 
 	private void begin() {
+		RetryGrant granted = this.grant;
+		this.grant = RetryGrant.NOT_NEEDED;
 		if (!callerWaits()) {
-			returnRepeat();
+			granted.giveBack();
 			return;
 		}
 		this.crashRetrial = this.router.crashGuard().isRefused(this.identity);
-		this.attempt = new Attempt(this, this.lastTarget);
+		this.attempt = new Attempt(this, this.lastTarget, granted);
 		this.attempt.start();
 	}
 
@@ -617,9 +616,6 @@
 		avoid(ended, end, faultyAddress);
 		RequestLog.attemptEnded(this, ended, end, faultyAddress);
 		recordRelayed(ended, end);
-		if (end instanceof AttemptOutcome.NotSent) {
-			returnRepeat();
-		}
 		if (this.done) {
 			return;
 		}
@@ -740,7 +736,6 @@
 	private boolean replaceAttempt(AttemptOutcome end, String faultyAddress) {
 		// Another attempt may begin at once: it replaces one that stands still.
 		boolean progressed = true;
-		boolean returnable = end instanceof AttemptOutcome.NotSent && this.repeat && !this.borrowed;
 		RetryDecision next = RetryPolicy.next(this.route, end, this.history.forRetry(this.answerBegun, progressed),
 				leftMs(), this::acquire);
 		if (next instanceof RetryDecision.Wait wait) {
@@ -758,9 +753,6 @@
 		if (end instanceof AttemptOutcome.NotSent) {
 			this.history.recordNotSent();
 		}
-		if (returnable) {
-			this.router.retries().returned(this.service.name());
-		}
 		this.history.recordEnd(stalled.target().first().incarnation(), end);
 		begin();
 		return true;
@@ -796,27 +788,6 @@
 		giveUp(RetryObstacle.NOT_RESUMABLE, reason);
 	}
 
-	// Only an answer that has begun borrows: otherwise a refusal is true, and its caller
-	// can go elsewhere.
-	private boolean repeatGranted() {
-		if (this.router.retries().acquireOwn(this.service.name())) {
-			this.borrowed = false;
-			return true;
-		}
-		if (!this.answerBegun) {
-			return false;
-		}
-		this.borrowed = this.router.retries().acquireBorrowed(this.service.name());
-		return this.borrowed;
-	}
-
-	private void returnRepeat() {
-		if (this.repeat && !this.borrowed) {
-			this.router.retries().returned(this.service.name());
-			this.repeat = false;
-		}
-	}
-
 	private void avoid(Attempt ended, AttemptOutcome end, String faultyAddress) {
 		long untilMs = this.router.nowMs() + AVOID_MS;
 		UpstreamState faulty = (faultyAddress != null)
--- a/whinjunction-router/src/main/java/io/whinjunction/router/RetryBudgets.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/RetryBudgets.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.BiConsumer;
 
@@ -14,7 +15,7 @@
  * budget of all routers, or lent by a peer. Counts what is granted, and logs what the
  * decisions were based on.
  * <p>
- * Confined to the event loop.
+ * Time is that of a clock that counts suspensions. Confined to the event loop.
  */
 public final class RetryBudgets {
 
@@ -43,7 +44,7 @@
 			BiConsumer<String, PeerMessage.RetryQuestion> sender) {
 		this.router = router;
 		this.bounds = bounds;
-		this.startedMs = router.nowMs();
+		this.startedMs = router.bootMs();
 		this.loans = new RetryLoans(router, this::of, sender);
 	}
 
@@ -62,43 +63,42 @@
 	 * @param service the service
 	 */
 	void requested(String service) {
-		of(service).requested(this.router.nowMs());
+		of(service).requested(this.router.bootMs());
 		this.router.metrics().retryBudget(service, "request");
 	}
 
 	/**
-	 * Acquires a retry from this router's share.
+	 * Acquires a retry: from this router's share, or one that a peer has lent.
 	 * @param service the service to which it is sent
-	 * @return whether it is granted
+	 * @param borrows whether a peer's retry is taken, or requested for later
+	 * @return the grant, or empty if there is no retry now
 	 */
-	boolean acquireOwn(String service) {
-		long nowMs = this.router.nowMs();
-		boolean granted = of(service).tryRepeat(nowMs, this.router.peers().routerCount(nowMs));
-		decided(service, granted ? "granted" : "denied");
-		return granted;
-	}
-
-	/**
-	 * Acquires a retry that a peer has lent, or requests one for later.
-	 * @param service the service to which it is sent
-	 * @return whether there was one
-	 */
-	boolean acquireBorrowed(String service) {
+	Optional<RetryGrant> acquire(String service, boolean borrows) {
+		Optional<FleetRetryBudget.Retry> own = of(service).acquire(this.router.bootMs(), routers());
+		if (own.isPresent()) {
+			decided(service, "granted");
+			return own.map((retry) -> new RetryGrant.Granted(this, service, retry));
+		}
+		decided(service, "denied");
+		if (!borrows) {
+			return Optional.empty();
+		}
 		if (this.loans.use(service)) {
 			decided(service, "borrowed");
-			return true;
+			return Optional.of(new RetryGrant.Granted(this, service, of(service).useLoan(this.router.bootMs())));
 		}
 		this.loans.ask(service);
-		return false;
+		return Optional.empty();
 	}
 
-	/**
-	 * Returns a retry of this router's share that reached no upstream.
-	 * @param service the service
-	 */
-	void returned(String service) {
-		of(service).returnRepeat(this.router.nowMs());
-		decided(service, "returned");
+	void settled(FleetRetryBudget.Retry retry) {
+		retry.settle(this.router.bootMs());
+	}
+
+	void givenBack(String service, FleetRetryBudget.Retry retry) {
+		if (retry.giveBack()) {
+			decided(service, "returned");
+		}
 	}
 
 	/**
@@ -122,6 +122,10 @@
 		this.loans.answered(answer);
 	}
 
+	private int routers() {
+		return this.router.peers().routerCount(this.router.nowMs());
+	}
+
 	private void decided(String service, String event) {
 		this.router.metrics().retryBudget(service, event);
 		this.unlogged.add(service);
@@ -132,8 +136,8 @@
 	 * decided since the last sweep.
 	 */
 	void sweep() {
-		long nowMs = this.router.nowMs();
-		int routers = this.router.peers().routerCount(nowMs);
+		long nowMs = this.router.bootMs();
+		int routers = routers();
 		long ageMs = nowMs - this.startedMs;
 		this.router.metrics().state("routers", routers);
 		this.router.metrics().state("process_age_ms", ageMs);
--- a/whinjunction-router/src/main/java/io/whinjunction/router/RetryLoans.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/RetryLoans.java
@@ -103,9 +103,8 @@
 		if (configuration == null || configuration.service(service) == null) {
 			return false;
 		}
-		long nowMs = this.router.nowMs();
-		int routers = Math.max(question.routers(), this.router.peers().routerCount(nowMs));
-		boolean lent = this.budgets.apply(service).lend(nowMs, routers);
+		int routers = Math.max(question.routers(), this.router.peers().routerCount(this.router.nowMs()));
+		boolean lent = this.budgets.apply(service).lend(this.router.bootMs(), routers);
 		if (lent) {
 			this.router.metrics().retryLoan("lent");
 			logger.atInfo().log("event=retry-lent service=%s", service);
--- a/whinjunction-router/src/test/java/io/whinjunction/router/RetryBudgetsTests.java
+++ b/whinjunction-router/src/test/java/io/whinjunction/router/RetryBudgetsTests.java
@@ -45,7 +45,7 @@
 		this.peers.addAddresses(List.of("10.0.0.2:1", "10.0.0.3:1"));
 		this.nowMs += 3 * WINDOW_MS;
 		budgets.requested(SERVICE);
-		budgets.acquireOwn(SERVICE);
+		budgets.acquire(SERVICE, false);
 		budgets.sweep();
 
 		assertThat(new String(metrics.text())).contains(
@@ -54,7 +54,7 @@
 	}
 
 	private long granted(RetryBudgets budgets) {
-		return IntStream.range(0, 1000).filter((index) -> budgets.acquireOwn(SERVICE)).count();
+		return IntStream.range(0, 1000).filter((index) -> budgets.acquire(SERVICE, false).isPresent()).count();
 	}
 
 	private RetryBudgets budgets() {
