A process that has just started earns retries instead of having them

A predecessor spends what ten seconds of requests earned and its share of the slack; its successor, which knows nothing of it, had half of a share at once, again at each start, and its own requests counted in full from the first one.

The log lines tell it from the other hypotheses: routers=8 in each of them, 91 retries counted and 0.4 left at 15 s, and 0.5 s after the restart 9 more.

Ratio and slack are divided: processes past their first window have three quarters of the ratio and two thirds of the slack, the others earn a fifth of the ratio by their requests and a sixth of the slack by the time that they have run. Processes that spend as the former in a window all ran when it began, so there are no more of them than routers, and what the latter earn adds up to no more than one process earns that runs on, however often they are started. Nothing of it depends on what a process can know.

--- a/whinjunction-core/src/main/java/io/whinjunction/forward/FleetRetryBudget.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/forward/FleetRetryBudget.java
@@ -7,12 +7,16 @@
  * <p>
  * Guards against retry storms: when everything fails at once, the retries of all routers
  * add up and keep the overload going after its cause is gone. Each router spends in
- * proportion to its own requests, so the ratio holds for the sum whichever routers come
- * and go. The slack is divided by {@link #SLACK_DIVISOR} times the number of routers, so
- * that partitioned, new and replaced routers, which have no record of what was spent
- * before, cannot push the sum over the bound. A process that has just started has half of
- * its share for a window: its predecessor may have spent a whole one, and all routers may
- * restart at once.
+ * proportion to its own requests, and an equal part of the slack, so that the sum stays
+ * within the bound.
+ * <p>
+ * A process has no record of what its predecessor spent, and its requests may have gone
+ * to another one. So ratio and slack are divided between processes that have run for a
+ * whole window and those that have not. The former all ran when any window began in which
+ * they send, so that there are no more of them than routers. The latter earn their part
+ * of the slack by the time that they have run, and of the ratio by their own requests:
+ * however often processes are started again, those of one router earn no more than one
+ * that runs on.
  * <p>
  * A process that needs none of its share lends retries to others. A loan is valid at the
  * borrower for at most one bucket after it was requested, and is counted here one bucket
@@ -20,24 +24,31 @@
  * latest possible use, so that the ratio and the slack still hold for the sum. A clock
  * that does not count suspensions only lets the lender count it longer.
  * <p>
- * Invariant: in each window of complete buckets, retries and loans are at most
- * {@link #RATIO_MARGIN} of the ratio times this process's requests plus its share of the
- * slack. Not thread-safe: confined to the event loop.
+ * Invariant: the retries that may still arrive, those that arrived in a window of
+ * complete buckets and the loans are at most this process's part of the ratio times its
+ * requests plus its share of the slack. Not thread-safe: confined to the event loop.
  */
 public final class FleetRetryBudget {
 
 	private static final int BUCKETS = 20;
 
-	/** Keeps the sum under the bound if another router counts a request's arrival. */
-	private static final double RATIO_MARGIN = 0.9;
-
 	/**
-	 * Leaves room for half as many routers again as are known: new and replaced ones.
+	 * The part of the ratio that a process has after its first window. The rest covers
+	 * its successors, and requests that move to another router: both count them.
 	 */
-	private static final double SLACK_DIVISOR = 1.5;
+	private static final double RATIO_PART = 0.75;
 
-	/** The part of its share that a process has in the first window after its start. */
-	private static final double STARTED_RATIO = SLACK_DIVISOR - 1;
+	/** The part of the ratio that a process has in its first window. */
+	private static final double STARTED_RATIO_PART = 0.2;
+
+	/** The part of the slack that processes share after their first window. */
+	private static final double SLACK_PART = 2.0 / 3;
+
+	/**
+	 * The part of the slack that processes earn in their first window. What is left is
+	 * for routers that are not known yet.
+	 */
+	private static final double STARTED_SLACK_PART = 1.0 / 6;
 
 	private final double ratio;
 
@@ -45,8 +56,9 @@
 
 	private final long bucketMs;
 
-	/** When the whole share of the slack is available, in milliseconds. */
-	private final long wholeShareAtMs;
+	private final long windowMs;
+
+	private final long startedMs;
 
 	private final SlidingCount requests;
 
@@ -69,7 +81,8 @@
 		this.ratio = ratio;
 		this.slack = slack;
 		this.bucketMs = windowMs / BUCKETS;
-		this.wholeShareAtMs = startedMs + windowMs + this.bucketMs;
+		this.windowMs = windowMs;
+		this.startedMs = startedMs;
 		this.requests = new SlidingCount(BUCKETS + 1, this.bucketMs);
 		this.retries = new SlidingCount(BUCKETS + 1, this.bucketMs);
 		this.loans = new SlidingCount(BUCKETS + 2, this.bucketMs);
@@ -86,7 +99,8 @@
 	/**
 	 * Acquires one retry if the budget allows it.
 	 * @param nowMs the current time
-	 * @param routers the number of routers
+	 * @param routers the number of routers; 0 if it is not known, so that there is no
+	 * share of the slack
 	 * @return the retry, or empty if it is not granted
 	 */
 	public Optional<Retry> acquire(long nowMs, int routers) {
@@ -109,7 +123,8 @@
 	/**
 	 * Lends one retry to another process, unless it is the last one of this process.
 	 * @param nowMs the current time
-	 * @param routers the number of routers
+	 * @param routers the number of routers; 0 if it is not known, so that there is no
+	 * share of the slack
 	 * @return whether it is lent
 	 */
 	public boolean lend(long nowMs, int routers) {
@@ -132,7 +147,8 @@
 	/**
 	 * Returns what is counted now.
 	 * @param nowMs the current time
-	 * @param routers the number of routers
+	 * @param routers the number of routers; 0 if it is not known, so that there is no
+	 * share of the slack
 	 * @return the counts of the window, and the retries left
 	 */
 	public Usage usage(long nowMs, int routers) {
@@ -141,10 +157,12 @@
 	}
 
 	private double left(long nowMs, int routers) {
-		double share = this.slack / (SLACK_DIVISOR * Math.max(1, routers));
-		return RATIO_MARGIN * this.ratio * this.requests.sum(nowMs)
-				+ Math.floor((nowMs < this.wholeShareAtMs) ? STARTED_RATIO * share : share) - this.open
-				- this.retries.sum(nowMs) - this.loans.sum(nowMs);
+		double earned = this.ratio * this.requests.sum(nowMs);
+		double share = (routers > 0) ? this.slack / routers : 0;
+		long ageMs = nowMs - this.startedMs;
+		double allowed = (ageMs > this.windowMs + this.bucketMs) ? RATIO_PART * earned + SLACK_PART * share
+				: STARTED_RATIO_PART * earned + STARTED_SLACK_PART * share * ageMs / this.windowMs;
+		return allowed - this.open - this.retries.sum(nowMs) - this.loans.sum(nowMs);
 	}
 
 	/**
--- a/whinjunction-core/src/test/java/io/whinjunction/forward/FleetRetryBudgetTests.java
+++ b/whinjunction-core/src/test/java/io/whinjunction/forward/FleetRetryBudgetTests.java
@@ -9,7 +9,6 @@
 
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
-import net.jqwik.api.Tag;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -61,7 +60,6 @@
 	// Guards against a fleet that restarts amid failures: each process had a whole share
 	// of the slack again, within the window in which its predecessor had spent one.
 	@Property(tries = 20)
-	@Tag("known-red")
 	void theSumOfAllRoutersStaysWithinTheBoundWhenAllRestart(@ForAll long seed) {
 		Random random = new Random(seed);
 		List<FleetRetryBudget> routers = new ArrayList<>();
@@ -93,7 +91,6 @@
 	// load, all or some of whose processes are killed once or several times within a
 	// window, while most requests fail.
 	@Property(tries = 40)
-	@Tag("known-red")
 	void theSumOfAllRoutersStaysWithinTheBoundAmidRestartsUnderLoad(@ForAll long seed) {
 		Random random = new Random(seed);
 		int size = 4 + random.nextInt(17);
@@ -105,37 +102,32 @@
 		long failsFromMs = 20_000 + random.nextInt(5000);
 		long[] restartsMs = random.longs(1 + random.nextInt(5), failsFromMs, failsFromMs + WINDOW_MS).toArray();
 		double restarted = 0.3 + 0.7 * random.nextDouble();
-		Deque<Long> requests = new ArrayDeque<>();
-		Deque<Long> retries = new ArrayDeque<>();
+		Series requests = new Series();
+		Series retries = new Series();
 		double due = 0;
-		for (long nowMs = 0; nowMs < failsFromMs + 3 * WINDOW_MS; nowMs += 10) {
+		for (long nowMs = 0; nowMs < failsFromMs + 3 * WINDOW_MS; nowMs += Series.STEP_MS) {
 			long startedMs = nowMs;
-			if (LongStream.of(restartsMs).anyMatch((atMs) -> atMs / 10 == startedMs / 10)) {
+			if (LongStream.of(restartsMs).anyMatch((atMs) -> atMs / Series.STEP_MS == startedMs / Series.STEP_MS)) {
 				routers.replaceAll((router) -> (random.nextDouble() < restarted)
 						? new FleetRetryBudget(RATIO, SLACK, WINDOW_MS, startedMs) : router);
 			}
-			for (due += perSecond / 100.0; due >= 1; due--) {
+			int sent = 0;
+			int retried = 0;
+			for (due += perSecond * Series.STEP_MS / 1000.0; due >= 1; due--) {
 				FleetRetryBudget router = routers.get(random.nextInt(size));
 				router.requested(nowMs);
-				requests.add(nowMs);
-				for (int retry = 0; retry < 2 && nowMs >= failsFromMs
-						&& RetrySender.send(router, nowMs, size); retry++) {
-					retries.add(nowMs);
+				sent++;
+				for (int retry = 0; retry < 2 && nowMs >= failsFromMs; retry++) {
+					retried += RetrySender.send(router, nowMs, size) ? 1 : 0;
 				}
 			}
-			assertThat(within(retries, nowMs)).isLessThanOrEqualTo(bound(requests, nowMs));
+			requests.add(sent);
+			retries.add(retried);
+			int most = Math.max(requests.inWindow(0),
+					Math.max(requests.inWindow(WINDOW_MS), requests.inWindow(WINDOW_MS / 2)));
+			assertThat(retries.inWindow(0)).as("at %d ms", nowMs).isLessThanOrEqualTo((int) (RATIO * most + SLACK));
 		}
-	}
-
-	private static int bound(Deque<Long> requests, long nowMs) {
-		requests.removeIf((atMs) -> atMs <= nowMs - 2 * WINDOW_MS);
-		int most = Math.max(within(requests, nowMs),
-				Math.max(within(requests, nowMs - WINDOW_MS), within(requests, nowMs - WINDOW_MS / 2)));
-		return (int) (RATIO * most + SLACK);
-	}
-
-	private static int within(Deque<Long> timesMs, long endMs) {
-		return (int) timesMs.stream().filter((atMs) -> atMs > endMs - WINDOW_MS && atMs <= endMs).count();
+		assertThat(retries.total()).isPositive();
 	}
 
 	// Guards against a retry that arrived and is counted no more, as another one, granted
@@ -189,12 +181,35 @@
 
 	@Test
 	void aSingleFailureIsRetriedAtOnce() {
-		FleetRetryBudget budget = new FleetRetryBudget(RATIO, SLACK, WINDOW_MS, 0);
+		FleetRetryBudget budget = new FleetRetryBudget(RATIO, SLACK, WINDOW_MS, START);
 		budget.requested(0);
 
 		assertThat(RetrySender.send(budget, 0, 8)).isTrue();
 	}
 
+	// Guards against a process that retries nothing for a whole window after its start.
+	@Test
+	void aProcessThatHasJustStartedEarnsRetriesByItsRequestsAndItsTime() {
+		FleetRetryBudget budget = new FleetRetryBudget(RATIO, SLACK, WINDOW_MS, 0);
+		assertThat(RetrySender.send(budget, 0, 8)).isFalse();
+
+		assertThat(RetrySender.send(budget, WINDOW_MS / 4, 8)).as("by the time").isTrue();
+		assertThat(RetrySender.send(budget, WINDOW_MS / 4, 8)).isFalse();
+
+		for (int request = 0; request < 1 / RATIO / 0.2; request++) {
+			budget.requested(WINDOW_MS / 4);
+		}
+		assertThat(RetrySender.send(budget, WINDOW_MS / 4, 8)).as("by its requests").isTrue();
+		assertThat(RetrySender.send(budget, WINDOW_MS / 4, 8)).isFalse();
+	}
+
+	@Test
+	void aProcessThatDoesNotKnowHowManyRoutersThereAreUsesNoSlack() {
+		FleetRetryBudget budget = new FleetRetryBudget(RATIO, SLACK, WINDOW_MS, START);
+
+		assertThat(RetrySender.send(budget, 0, 0)).isFalse();
+	}
+
 	@Test
 	void theBudgetIsRestoredAfterTheWindow() {
 		FleetRetryBudget budget = new FleetRetryBudget(RATIO, 12, WINDOW_MS, START);
@@ -206,4 +221,31 @@
 		assertThat(RetrySender.send(budget, 2 * WINDOW_MS, 8)).isTrue();
 	}
 
+	/** Counts of events in steps of equal length. */
+	private static final class Series {
+
+		static final long STEP_MS = 10;
+
+		/** The sums of all steps so far. */
+		private final List<Integer> sums = new ArrayList<>(List.of(0));
+
+		void add(int events) {
+			this.sums.add(total() + events);
+		}
+
+		int total() {
+			return this.sums.getLast();
+		}
+
+		/** Returns the events of the window that ended so long before the last step. */
+		int inWindow(long agoMs) {
+			return sumBefore(agoMs) - sumBefore(agoMs + WINDOW_MS);
+		}
+
+		private int sumBefore(long agoMs) {
+			return this.sums.get((int) Math.max(0, this.sums.size() - 1 - agoMs / STEP_MS));
+		}
+
+	}
+
 }
