What upstreams send of an answer is charged, and given up before others suffer

Each answer was bounded, all together were not: partial heads, trailers, lines and events were not counted, and a failure that was buffered counted in a state that is never shed.

One account for both sides: the decoders share KeptBytes, and a large part of an answer that is not passed on is a state that is shed with unsent requests, the largest first. A whole answer is passed on as it arrives from then on; anything else ends its attempt, as one that may have run.

--- a/whinjunction-core/src/main/java/io/whinjunction/http/server/RequestMeter.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/http/server/RequestMeter.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import io.whinjunction.http.KeptBytes;
 import io.whinjunction.memory.MemoryBudget;
 import io.whinjunction.memory.MemoryShare;
 
@@ -73,7 +74,7 @@
 	private void charge(Object message) {
 		long bytes = 0;
 		if (message instanceof HttpRequest head) {
-			bytes += (long) StrictRequestDecoder.FIELD_BYTES * head.headers().size();
+			bytes += (long) KeptBytes.FIELD_BYTES * head.headers().size();
 			bytes += head.headers()
 				.entries()
 				.stream()
--- a/whinjunction-core/src/main/java/io/whinjunction/http/server/StrictRequestDecoder.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/http/server/StrictRequestDecoder.java
@@ -3,7 +3,6 @@
 import java.util.List;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpDecoderConfig;
@@ -11,6 +10,7 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.whinjunction.http.KeptBytes;
 
 /**
  * Decodes requests and keeps conflicting length headers. Netty's decoder drops a
@@ -27,12 +27,6 @@
  */
 public final class StrictRequestDecoder extends HttpRequestDecoder {
 
-	/**
-	 * What a decoded field takes on the heap beside its bytes, in bytes: an entry of the
-	 * table, a name and a value.
-	 */
-	public static final int FIELD_BYTES = 160;
-
 	private final Listener listener;
 
 	private ChannelHandlerContext context;
@@ -48,8 +42,7 @@
 	/** Whether a message was completed by what is being decoded at this moment. */
 	private boolean completed;
 
-	/** What the decoded part of an incomplete head or trailer takes, in bytes. */
-	private long partialBytes;
+	private final KeptBytes kept = new KeptBytes();
 
 	/** What the head that was decoded last takes, in bytes. */
 	private long headBytes;
@@ -62,25 +55,7 @@
 	public StrictRequestDecoder(HttpDecoderConfig config, Listener listener) {
 		super(config);
 		this.listener = listener;
-		setCumulator(StrictRequestDecoder::cumulate);
-	}
-
-	private static ByteBuf cumulate(ByteBufAllocator allocator, ByteBuf kept, ByteBuf in) {
-		try {
-			if (!in.isReadable()) {
-				return kept;
-			}
-			if (kept.isReadable() && kept.readerIndex() == 0 && kept.refCnt() == 1) {
-				return kept.writeBytes(in);
-			}
-			ByteBuf own = Unpooled.buffer(kept.readableBytes() + in.readableBytes());
-			own.writeBytes(kept).writeBytes(in);
-			kept.release();
-			return own;
-		}
-		finally {
-			in.release();
-		}
+		setCumulator(KeptBytes::cumulate);
 	}
 
 	@Override
@@ -152,7 +127,7 @@
 
 	private long keptBytes() {
 		long undecoded = (actualReadableBytes() > 0) ? internalBuffer().capacity() : 0;
-		return this.partialBytes + undecoded;
+		return this.kept.partialBytes() + undecoded;
 	}
 
 	@Override
@@ -167,35 +142,20 @@
 		int from = in.readerIndex();
 		super.decode(context, in, out);
 		if (out.isEmpty()) {
-			this.partialBytes += heapBytes(in, from);
-			this.betweenMessages &= this.partialBytes == 0;
+			this.kept.decoded(in, from);
+			this.betweenMessages &= this.kept.partialBytes() == 0;
 			return;
 		}
 		if (out.getFirst() instanceof HttpRequest head) {
-			this.headBytes = this.partialBytes + in.readerIndex() - from + (long) FIELD_BYTES * head.headers().size();
+			this.headBytes = this.kept.partialBytes() + in.readerIndex() - from
+					+ (long) KeptBytes.FIELD_BYTES * head.headers().size();
 		}
-		this.partialBytes = 0;
+		this.kept.completed();
 		this.betweenMessages = out.getLast() instanceof LastHttpContent;
 		this.completed |= this.betweenMessages;
 		this.listener.decoded();
 	}
 
-	// A line that begins with white space continues the field before it. Blank lines
-	// before a head are not kept.
-	private long heapBytes(ByteBuf in, int from) {
-		long fields = 0;
-		boolean lineBegins = true;
-		for (int index = from; index < in.readerIndex(); index++) {
-			byte read = in.getByte(index);
-			if (lineBegins && (read > ' ' || read < 0)) {
-				fields++;
-			}
-			lineBegins = read == '\n';
-		}
-		boolean blank = this.partialBytes == 0 && fields == 0;
-		return blank ? 0 : in.readerIndex() - from + fields * FIELD_BYTES;
-	}
-
 	@Override
 	protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
 		// Keeps both headers, so that HeadGuard can refuse the request.
--- a/whinjunction-core/src/main/java/io/whinjunction/memory/MemoryBudget.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/memory/MemoryBudget.java
@@ -1,6 +1,7 @@
 package io.whinjunction.memory;
 
 import java.util.Comparator;
+import java.util.EnumSet;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -8,16 +9,17 @@
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
- * The memory that callers may make a process hold: decoded heads, bodies that wait for
- * their end, answers that were not taken.
+ * The memory that callers, and the upstreams of their requests, may make a process hold:
+ * decoded heads, bodies that wait for their end, parts of answers, answers that were not
+ * taken.
  * <p>
- * Guards against callers that together hold more than the process has, whether each of
- * them sends much, stops just short of an end, or takes no answers. Holders charge what
- * they hold at its cost on the heap. Up to the soft limit nobody is restricted. Above it
- * the largest holders are shed first until an eighth of the limit is free again, small
- * ones only above the limit, so that the last quarter is kept for small requests. A
- * holder whose request an upstream may have begun is never shed; {@link #admits} keeps
- * the sum of those within the limits.
+ * Guards against callers or upstreams that together hold more than the process has,
+ * whether each of them sends much, stops just short of an end, or takes no answers.
+ * Holders charge what they hold at its cost on the heap. Up to the soft limit nobody is
+ * restricted. Above it the largest holders are shed first until an eighth of the limit is
+ * free again, small ones only above the limit, so that the last quarter is kept for small
+ * requests. A holder whose request an upstream may have begun is never shed;
+ * {@link #admits} keeps the sum of those within the limits.
  * <p>
  * Invariant: the used bytes are the sum of all open shares. Thread-safe.
  */
@@ -105,15 +107,15 @@
 
 	private void shed(long used) {
 		boolean full = used > this.limitBytes;
-		long left = shed(used, Holder.State.UNSENT, full);
+		long left = shed(used, EnumSet.of(Holder.State.UNSENT, Holder.State.UNPASSED), full);
 		if (left > this.limitBytes) {
-			shed(left, Holder.State.UNTAKEN, true);
+			shed(left, EnumSet.of(Holder.State.UNTAKEN), true);
 		}
 	}
 
-	private long shed(long used, Holder.State state, boolean smallToo) {
+	private long shed(long used, Set<Holder.State> states, boolean smallToo) {
 		List<MemoryShare> candidates = this.open.stream()
-			.filter((share) -> !share.isShed() && share.holder().state() == state)
+			.filter((share) -> !share.isShed() && states.contains(share.holder().state()))
 			.sorted(LARGEST_FIRST)
 			.toList();
 		long left = used;
@@ -123,6 +125,7 @@
 				break;
 			}
 			left -= bytes;
+			Holder.State state = share.holder().state();
 			share.shed();
 			this.listener.shed(state, bytes, used, this.limitBytes);
 		}
@@ -165,7 +168,7 @@
 	}
 
 	/**
-	 * Holds memory on behalf of one caller.
+	 * Holds memory on behalf of one caller and its request.
 	 */
 	public interface Holder {
 
@@ -177,8 +180,8 @@
 		State state();
 
 		/**
-		 * Gives up what it holds: refuses a request, or closes a connection. May be
-		 * called by any thread, and may take effect later.
+		 * Gives up what it holds: refuses a request, ends an attempt, or closes a
+		 * connection. May be called by any thread, and may take effect later.
 		 */
 		void shed();
 
@@ -191,6 +194,10 @@
 			UNSENT,
 			/** An upstream may have begun the request. */
 			SENT,
+			/**
+			 * An upstream has sent a large part of an answer that can't be passed on yet.
+			 */
+			UNPASSED,
 			/** Its caller takes no more of the answer. */
 			UNTAKEN
 
--- a/whinjunction-core/src/main/java/io/whinjunction/memory/MemoryShare.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/memory/MemoryShare.java
@@ -123,6 +123,8 @@
 		DECODING,
 		/** The request until its end: its head and its buffered body. */
 		REQUEST,
+		/** What an upstream has sent of an answer that is not complete. */
+		UPSTREAM,
 		/** What its caller has not taken of its answers. */
 		ANSWERS
 
--- a/whinjunction-core/src/test/java/io/whinjunction/http/server/StrictRequestDecoderTests.java
+++ b/whinjunction-core/src/test/java/io/whinjunction/http/server/StrictRequestDecoderTests.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.util.ReferenceCountUtil;
+import io.whinjunction.http.KeptBytes;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -56,7 +57,7 @@
 	void theFieldsOfAHeadWithoutEndAreReported() {
 		receive("GET /first HTTP/1.1\r\n" + "a:\r\n".repeat(FIELDS));
 
-		assertThat(this.listener.keptBytes).isGreaterThan((long) FIELDS * StrictRequestDecoder.FIELD_BYTES);
+		assertThat(this.listener.keptBytes).isGreaterThan((long) FIELDS * KeptBytes.FIELD_BYTES);
 	}
 
 	@Test
--- a/whinjunction-core/src/test/java/io/whinjunction/memory/MemoryBudgetTests.java
+++ b/whinjunction-core/src/test/java/io/whinjunction/memory/MemoryBudgetTests.java
@@ -59,6 +59,19 @@
 		assertThat(sent).allSatisfy((holder) -> assertThat(holder.sheds).isZero());
 	}
 
+	// Guards against requests that are refused in favour of answers that never end.
+	@Example
+	void partsOfAnswersAreShedBeforeSmallerRequests() {
+		TestHolder request = hold(MemoryBudget.Holder.State.UNSENT, LARGE_BYTES);
+		TestHolder answer = hold(MemoryBudget.Holder.State.UNPASSED, 2 * LARGE_BYTES);
+		for (int index = 0; index < 6; index++) {
+			hold(MemoryBudget.Holder.State.SENT, LARGE_BYTES);
+		}
+
+		assertThat(answer.sheds).isOne();
+		assertThat(request.sheds).isZero();
+	}
+
 	// Guards against large requests that leave no room for small ones.
 	@Example
 	void onlySmallRequestsAreSentWhenMostOfTheLimitIsUsed() {
--- a/whinjunction-router/src/main/java/io/whinjunction/router/Attempt.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/Attempt.java
@@ -122,6 +122,12 @@
 
 	private boolean ranWell;
 
+	/** What the connection keeps of a response that is not complete, in bytes. */
+	private long keptBytes;
+
+	/** What was charged last for the upstream, in bytes. */
+	private long chargedBytes;
+
 	/**
 	 * Creates an attempt that has not started.
 	 * @param session the request
@@ -577,6 +583,47 @@
 		this.answer = new Answer(response.status(), headers, Unpooled.buffer(0));
 	}
 
+	@Override
+	public void onKept(long bytes) {
+		this.keptBytes = bytes;
+		charge();
+	}
+
+	// May end this attempt, or others, if too much is held.
+	private void charge() {
+		long bytes = this.ended ? 0 : this.keptBytes + (this.streaming ? this.session.events().heldBytes() : 0);
+		if (bytes != this.chargedBytes) {
+			this.chargedBytes = bytes;
+			this.session.caller().share().set(MemoryShare.Use.UPSTREAM, bytes);
+		}
+	}
+
+	/**
+	 * Returns what is held of an answer that is not passed on yet.
+	 * @return bytes
+	 */
+	long unpassedBytes() {
+		long bufferedBytes = (this.answer != null && !this.ended) ? this.answer.body().capacity() : 0;
+		return this.chargedBytes + bufferedBytes;
+	}
+
+	/**
+	 * Gives up what is held of the answer: passes it on as it arrives if that is
+	 * possible, and ends the attempt otherwise.
+	 */
+	void onNoMemory() {
+		boolean whole = this.answer != null && !this.streaming && !this.passedOn && this.head.genuine()
+				&& !this.head.notRun();
+		if (whole && (this.head.success() || this.session.route().kind() != RequestKind.STREAMING)
+				&& this.target instanceof Target.Direct) {
+			passOn();
+			this.session.onReadComplete();
+		}
+		else if (underWay()) {
+			endInvalid("an incomplete answer, as too much memory is held");
+		}
+	}
+
 	@Override
 	public void onContent(ByteBuf content) {
 		if (this.ended) {
@@ -586,6 +633,11 @@
 			takeWhole(content);
 			return;
 		}
+		takeEvents(content);
+		charge();
+	}
+
+	private void takeEvents(ByteBuf content) {
 		ByteBuf events = this.session.events().take(content);
 		if (this.session.events().oversized()) {
 			ReferenceCountUtil.release(events);
@@ -625,10 +677,7 @@
 			buffered.add(share, body.capacity() - beforeBytes);
 		}
 		else if (passable) {
-			this.passedOn = true;
-			buffered.remove(share, body.capacity());
-			this.answer = new Answer(this.answer.status(), this.answer.headers(), Unpooled.EMPTY_BUFFER);
-			this.session.onEvents(this.answer, body);
+			passOn();
 			this.session.onEvents(this.answer, content.retain());
 		}
 		else {
@@ -636,6 +685,14 @@
 		}
 	}
 
+	private void passOn() {
+		ByteBuf body = this.answer.body();
+		this.passedOn = true;
+		this.session.router().bufferedAnswers().remove(this.session.caller().share(), body.capacity());
+		this.answer = new Answer(this.answer.status(), this.answer.headers(), Unpooled.EMPTY_BUFFER);
+		this.session.onEvents(this.answer, body);
+	}
+
 	// What comes next may be without end.
 	private void endInvalid(String reason) {
 		logger.atWarning()
@@ -669,6 +726,10 @@
 		else if (this.head.success() && !this.head.genuine()) {
 			end(new AttemptOutcome.Unknown("not-genuine"), null);
 		}
+		else if (this.passedOn && !this.head.success()) {
+			settle();
+			this.session.onPassedOnFailure(this.answer.status());
+		}
 		else if (this.session.answerBegun()) {
 			endLargeOrResumed();
 		}
@@ -821,6 +882,7 @@
 		this.session.router().engineMonitor().remove(this);
 		this.load.readingEnded();
 		this.load.ended();
+		charge();
 		if (this.answer != null) {
 			this.session.router()
 				.bufferedAnswers()
--- a/whinjunction-router/src/main/java/io/whinjunction/router/CallerConnection.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/CallerConnection.java
@@ -144,6 +144,9 @@
 		if (this.session != null && this.session.unsent()) {
 			return MemoryBudget.Holder.State.UNSENT;
 		}
+		if (this.session != null && this.session.unpassedBytes() > MemoryBudget.SMALL_BYTES) {
+			return MemoryBudget.Holder.State.UNPASSED;
+		}
 		if (!writable() || this.answered && unwrittenBytes() > 0) {
 			return MemoryBudget.Holder.State.UNTAKEN;
 		}
@@ -155,6 +158,9 @@
 		if (this.session != null && this.session.unsent()) {
 			this.session.onNoMemory();
 		}
+		else if (this.session != null && this.session.unpassedBytes() > MemoryBudget.SMALL_BYTES) {
+			this.session.onNoMemoryForAnswer();
+		}
 		else {
 			this.channel.close();
 		}
--- a/whinjunction-router/src/main/java/io/whinjunction/router/EventStream.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/EventStream.java
@@ -22,6 +22,9 @@
 	 */
 	static final int MAX_EVENT_BYTES = 1 << 20;
 
+	/** The largest buffer that is kept between two events, in bytes. */
+	private static final int MAX_IDLE_BYTES = 4096;
+
 	/** The bytes of {@code id:}. */
 	private static final int ID_FIELD_BYTES = 3;
 
@@ -79,9 +82,24 @@
 		}
 		ByteBuf complete = Unpooled.copiedBuffer(this.pending.readSlice(completeBytes));
 		this.pending.discardReadBytes();
+		shrink();
 		return complete;
 	}
 
+	private void shrink() {
+		if (!this.pending.isReadable() && this.pending.capacity() > MAX_IDLE_BYTES) {
+			this.pending.clear().capacity(0);
+		}
+	}
+
+	/**
+	 * Returns what an incomplete event takes.
+	 * @return bytes
+	 */
+	int heldBytes() {
+		return this.pending.capacity();
+	}
+
 	/**
 	 * Whether the bytes taken in since the last event are too many to belong to a stream
 	 * of events.
@@ -95,6 +113,7 @@
 	/** Drops the incomplete event, before another upstream resumes the stream. */
 	void dropPartial() {
 		this.pending.clear();
+		shrink();
 		beginEvent();
 		this.examinedBytes = 0;
 		this.lineAt = 0;
--- a/whinjunction-router/src/main/java/io/whinjunction/router/ForwardSession.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/ForwardSession.java
@@ -4,10 +4,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.Collectors;
-import java.util.stream.Stream;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -21,7 +18,6 @@
 import io.whinjunction.forward.RetryDecision;
 import io.whinjunction.forward.RetryObstacle;
 import io.whinjunction.forward.RetryPolicy;
-import io.whinjunction.reachability.Reachability;
 import io.whinjunction.routing.RequestKind;
 import io.whinjunction.routing.Route;
 import io.whinjunction.routing.RoutedService;
@@ -119,6 +115,8 @@
 
 	private final ResumeTimer resumeTimer;
 
+	private final TargetSearch search = new TargetSearch(this);
+
 	/**
 	 * Whether the request was sent although it crashes upstreams, to check whether it
 	 * still does.
@@ -228,8 +226,7 @@
 	}
 
 	private void chargeHeld() {
-		int failureBytes = (this.failedAnswer != null) ? this.failedAnswer.body().capacity() : 0;
-		this.caller.hold(this.body.heapBytes() + failureBytes);
+		this.caller.hold(this.body.heapBytes() + failureBytes());
 	}
 
 	private void onBodyTooLarge() {
@@ -296,6 +293,30 @@
 		}
 	}
 
+	/**
+	 * Returns what is held of answers that are not passed on: of the attempt under way,
+	 * or a failure that another attempt may replace.
+	 * @return the larger of both, in bytes
+	 */
+	long unpassedBytes() {
+		return Math.max((this.attempt != null) ? this.attempt.unpassedBytes() : 0, failureBytes());
+	}
+
+	private int failureBytes() {
+		return (this.failedAnswer != null) ? this.failedAnswer.body().capacity() : 0;
+	}
+
+	/** Gives up what is held of an answer that is not passed on. */
+	void onNoMemoryForAnswer() {
+		if (this.attempt != null && this.attempt.unpassedBytes() >= failureBytes()) {
+			this.attempt.onNoMemory();
+		}
+		else {
+			this.failedAnswer = null;
+			chargeHeld();
+		}
+	}
+
 	/**
 	 * Looks whether the caller still waits, and ends the request if it does not. Called
 	 * immediately before anything is sent: the close may have arrived long before this
@@ -467,7 +488,7 @@
 			this.crashRetryAfterMs = crashing.getAsLong();
 			return Optional.of(RetryObstacle.CRASHES_UPSTREAMS);
 		}
-		Optional<Target> target = chooseTarget();
+		Optional<Target> target = this.search.find();
 		if (target.isEmpty()) {
 			return Optional.of(RetryObstacle.NO_UPSTREAM);
 		}
@@ -531,80 +552,6 @@
 		return StopAdmission.Family.of(this.route, this.service);
 	}
 
-	// Whoever is cut off from the service has no other way than a peer. While that is not
-	// certain, this router's own paths are the second choice.
-	private Optional<Target> chooseTarget() {
-		Reachability reachability = this.router.reachability().of(this.service.name());
-		if (reachability == Reachability.REACHED) {
-			Optional<Target> direct = chooseUpstream();
-			return (direct.isPresent() || this.relayedFor != null) ? direct : chooseHelper();
-		}
-		Optional<Target> relay = chooseRelay();
-		return (relay.isPresent() || reachability == Reachability.CUT_OFF) ? relay : chooseUpstream();
-	}
-
-	// A router that is not cut off has other routers send a request only if one of them
-	// is known to be able to.
-	private Optional<Target> chooseHelper() {
-		if (this.router.limits().usedUp(this.service.name())) {
-			return this.router.relays().chooseSpare(this.service.name(), this.history.failedAt());
-		}
-		OptionalLong unconnectedSinceMs = this.router.reachability().unconnectedSinceMs(this.service.name());
-		return unconnectedSinceMs.isPresent()
-				? this.router.relays()
-					.chooseAnswered(this.service.name(), this.history.failedAt(), unconnectedSinceMs.getAsLong())
-				: Optional.empty();
-	}
-
-	private Optional<Target> chooseRelay() {
-		return (this.relayedFor == null) ? this.router.relays().choose(this.service.name(), this.history.failedAt())
-				: Optional.empty();
-	}
-
-	private Optional<Target> chooseUpstream() {
-		TargetChooser.Criteria criteria = criteria(this.history.failedAt());
-		Optional<Target> target = this.router.chooser().choose(criteria, this.router.nowMs());
-		if (target.isEmpty() && this.answerBegun) {
-			// What failed a while ago may work again, and there may be nothing else.
-			Set<String> stillSilent = this.history.failedAt()
-				.stream()
-				.filter(this.router.engineMonitor()::suspects)
-				.collect(Collectors.toUnmodifiableSet());
-			target = this.router.chooser().choose(criteria(stillSilent), this.router.nowMs());
-		}
-		if (target.isEmpty() && this.obstacle != RetryObstacle.NO_UPSTREAM) {
-			RequestLog.noTarget(this, this.router.chooser().unusable(criteria, this.router.nowMs()));
-		}
-		return target;
-	}
-
-	private TargetChooser.Criteria criteria(Set<String> excluded) {
-		Set<String> tried = this.answerBegun ? mayStillRunIt() : this.history.sentTo();
-		boolean again = RetryPolicy.onlyTriedUpstreams(this.route, tried.size());
-		return new TargetChooser.Criteria(currentService(), expectedTokens(), excluded, again ? tried : null,
-				!this.answerBegun);
-	}
-
-	// A request keeps its route, but engines of a kind that the configuration listed
-	// later
-	// can serve it too.
-	private RoutedService currentService() {
-		RoutedService current = this.router.configuration().service(this.service.name());
-		boolean same = current != null && current.chained() == this.service.chained();
-		return same ? current : this.service;
-	}
-
-	// Upstreams that have ended, or that did not run the request, do not count as those
-	// that the route allows for an answer that has begun.
-	private Set<String> mayStillRunIt() {
-		Stream<String> underWay = (this.attempt != null && this.attempt.sent())
-				? Stream.of(this.attempt.target().first().incarnation()) : Stream.empty();
-		return Stream.concat(this.history.mayHaveRunAt().stream(), underWay)
-			.filter((incarnation) -> this.router.directory().find(incarnation) != null
-					&& !this.router.engineMonitor().lost(incarnation))
-			.collect(Collectors.toUnmodifiableSet());
-	}
-
 	/**
 	 * Handles an attempt that ended without an answer for the caller.
 	 * @param end how it ended
@@ -773,9 +720,7 @@
 	 */
 	Optional<List<Hop>> detour(String faultyAddress, Hop first) {
 		recordFailureAt(faultyAddress);
-		TargetChooser.Criteria criteria = new TargetChooser.Criteria(currentService(), expectedTokens(),
-				this.history.failedAt(), null, false);
-		return this.router.chooser().detour(criteria, first, this.router.nowMs());
+		return this.search.detour(first);
 	}
 
 	/**
@@ -972,6 +917,17 @@
 		}
 	}
 
+	/**
+	 * Completes a failure that was passed on as it arrived.
+	 * @param status its status
+	 */
+	void onPassedOnFailure(HttpResponseStatus status) {
+		survived();
+		this.attempt = null;
+		end("failed-upstream", "status-" + status.code());
+		this.caller.endAnswer();
+	}
+
 	/**
 	 * Completes an answer that was passed on in chunks.
 	 * @param head its head, for an answer without any chunk
@@ -1033,6 +989,22 @@
 		RequestLog.ended(this, outcome, reason, phase, sentMsAgo);
 	}
 
+	/**
+	 * Whether a peer has the caller of the request.
+	 * @return {@code false} if this router has it
+	 */
+	boolean relayed() {
+		return this.relayedFor != null;
+	}
+
+	/**
+	 * Returns the newest attempt.
+	 * @return the attempt, or {@code null} if none is under way
+	 */
+	Attempt attempt() {
+		return this.attempt;
+	}
+
 	Target lastTarget() {
 		return this.lastTarget;
 	}
@@ -1066,8 +1038,7 @@
 	 * @return what the relay has to know beyond the request itself
 	 */
 	RelayHeaders.Origin origin() {
-		Set<String> tried = this.answerBegun ? mayStillRunIt() : this.history.sentTo();
-		return this.router.relays().origin(this.router.nowMs() - this.startedMs, tried);
+		return this.router.relays().origin(this.router.nowMs() - this.startedMs, this.search.tried());
 	}
 
 	/**
--- /dev/null
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/TargetSearch.java
@@ -0,0 +1,143 @@
+package io.whinjunction.router;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+
+import io.whinjunction.chain.Hop;
+import io.whinjunction.forward.RetryObstacle;
+import io.whinjunction.forward.RetryPolicy;
+import io.whinjunction.reachability.Reachability;
+import io.whinjunction.routing.RoutedService;
+
+/**
+ * Finds where the next attempt of one request goes: to an upstream, or to a peer that
+ * reaches one.
+ * <p>
+ * Invariants: a request of a peer is not handed on to another one; an upstream that made
+ * the request fail is chosen again only for an answer that has begun. Confined to the
+ * event loop.
+ */
+final class TargetSearch {
+
+	private final ForwardSession session;
+
+	/**
+	 * Creates a search.
+	 * @param session the request
+	 */
+	TargetSearch(ForwardSession session) {
+		this.session = session;
+	}
+
+	/**
+	 * Finds a target. Whoever is cut off from the service has no other way than a peer.
+	 * While that is not certain, this router's own paths are the second choice.
+	 * @return the target, or empty if there is none now
+	 */
+	Optional<Target> find() {
+		Reachability reachability = router().reachability().of(service());
+		if (reachability == Reachability.REACHED) {
+			Optional<Target> direct = chooseUpstream();
+			return (direct.isPresent() || this.session.relayed()) ? direct : chooseHelper();
+		}
+		Optional<Target> relay = chooseRelay();
+		return (relay.isPresent() || reachability == Reachability.CUT_OFF) ? relay : chooseUpstream();
+	}
+
+	// A router that is not cut off has other routers send a request only if one of them
+	// is known to be able to.
+	private Optional<Target> chooseHelper() {
+		if (router().limits().usedUp(service())) {
+			return router().relays().chooseSpare(service(), failedAt());
+		}
+		OptionalLong unconnectedSinceMs = router().reachability().unconnectedSinceMs(service());
+		return unconnectedSinceMs.isPresent()
+				? router().relays().chooseAnswered(service(), failedAt(), unconnectedSinceMs.getAsLong())
+				: Optional.empty();
+	}
+
+	private Optional<Target> chooseRelay() {
+		return this.session.relayed() ? Optional.empty() : router().relays().choose(service(), failedAt());
+	}
+
+	private Optional<Target> chooseUpstream() {
+		TargetChooser.Criteria criteria = criteria(failedAt());
+		Optional<Target> target = router().chooser().choose(criteria, router().nowMs());
+		if (target.isEmpty() && this.session.answerBegun()) {
+			// What failed a while ago may work again, and there may be nothing else.
+			Set<String> stillSilent = failedAt().stream()
+				.filter(router().engineMonitor()::suspects)
+				.collect(Collectors.toUnmodifiableSet());
+			target = router().chooser().choose(criteria(stillSilent), router().nowMs());
+		}
+		if (target.isEmpty() && this.session.obstacle() != RetryObstacle.NO_UPSTREAM) {
+			RequestLog.noTarget(this.session, router().chooser().unusable(criteria, router().nowMs()));
+		}
+		return target;
+	}
+
+	private TargetChooser.Criteria criteria(Set<String> excluded) {
+		Set<String> tried = tried();
+		boolean again = RetryPolicy.onlyTriedUpstreams(this.session.route(), tried.size());
+		return new TargetChooser.Criteria(currentService(), this.session.expectedTokens(), excluded,
+				again ? tried : null, !this.session.answerBegun());
+	}
+
+	/**
+	 * Finds another path for the attempt under way, without the engines that made the
+	 * request fail.
+	 * @param first the hop that stays
+	 * @return the complete path, or empty if there is none
+	 */
+	Optional<List<Hop>> detour(Hop first) {
+		TargetChooser.Criteria criteria = new TargetChooser.Criteria(currentService(), this.session.expectedTokens(),
+				failedAt(), null, false);
+		return router().chooser().detour(criteria, first, router().nowMs());
+	}
+
+	/**
+	 * Returns the upstreams that count as those that the route allows for the request.
+	 * @return their incarnations
+	 */
+	Set<String> tried() {
+		return this.session.answerBegun() ? mayStillRunIt() : this.session.history().sentTo();
+	}
+
+	// Upstreams that have ended, or that did not run the request, do not count for an
+	// answer that has begun.
+	private Set<String> mayStillRunIt() {
+		Attempt attempt = this.session.attempt();
+		Stream<String> underWay = (attempt != null && attempt.sent())
+				? Stream.of(attempt.target().first().incarnation()) : Stream.empty();
+		return Stream.concat(this.session.history().mayHaveRunAt().stream(), underWay)
+			.filter((incarnation) -> router().directory().find(incarnation) != null
+					&& !router().engineMonitor().lost(incarnation))
+			.collect(Collectors.toUnmodifiableSet());
+	}
+
+	// A request keeps its route, but engines of a kind that the configuration listed
+	// later can serve it too.
+	private RoutedService currentService() {
+		RoutedService former = this.session.service();
+		RoutedService current = router().configuration().service(former.name());
+		boolean same = current != null && current.chained() == former.chained();
+		return same ? current : former;
+	}
+
+	private RouterContext router() {
+		return this.session.router();
+	}
+
+	private String service() {
+		return this.session.service().name();
+	}
+
+	private Set<String> failedAt() {
+		return this.session.history().failedAt();
+	}
+
+}
--- a/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamConnection.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamConnection.java
@@ -69,7 +69,8 @@
 	private final Dialect dialect;
 
 	private final UpstreamResponseDecoder decoder = new UpstreamResponseDecoder(
-			new HttpDecoderConfig().setMaxHeaderSize(MAX_HEADER_BYTES).setMaxInitialLineLength(MAX_HEADER_BYTES));
+			new HttpDecoderConfig().setMaxHeaderSize(MAX_HEADER_BYTES).setMaxInitialLineLength(MAX_HEADER_BYTES),
+			this::onKept);
 
 	private final Consumer<ByteBuf> chunks = this::readChunk;
 
@@ -241,6 +242,12 @@
 		}
 	}
 
+	private void onKept(long bytes) {
+		if (this.listener != null) {
+			this.listener.onKept(bytes);
+		}
+	}
+
 	private void onInvalid(String problem) {
 		if (this.listener != null) {
 			logger.atWarning()
--- a/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamListener.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamListener.java
@@ -22,6 +22,12 @@
 	 */
 	void onContent(ByteBuf content);
 
+	/**
+	 * Called when the connection keeps more or less of a response that is not complete.
+	 * @param bytes what is kept, in bytes
+	 */
+	void onKept(long bytes);
+
 	/** Called when all bytes that were available were handed over. */
 	void onReadComplete();
 
--- a/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamResponseDecoder.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamResponseDecoder.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.function.Consumer;
+import java.util.function.LongConsumer;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -18,6 +19,7 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.InvalidChunkTerminationException;
+import io.whinjunction.http.KeptBytes;
 
 /**
  * Decodes responses of an upstream. On request the data of a chunked body goes straight
@@ -31,6 +33,13 @@
 
 	private final ChunkReader chunks = new ChunkReader();
 
+	private final KeptBytes kept = new KeptBytes();
+
+	private final LongConsumer onKept;
+
+	/** What was reported last, in bytes. */
+	private long reportedBytes;
+
 	/** Receives the data of the body; {@code null} while the library decodes. */
 	private Consumer<ByteBuf> body;
 
@@ -42,9 +51,12 @@
 	/**
 	 * Creates a decoder.
 	 * @param config its limits
+	 * @param onKept receives what is kept after a read, in bytes, if it has changed
 	 */
-	UpstreamResponseDecoder(HttpDecoderConfig config) {
+	UpstreamResponseDecoder(HttpDecoderConfig config, LongConsumer onKept) {
 		super(config);
+		this.onKept = onKept;
+		setCumulator(KeptBytes::cumulate);
 	}
 
 	/**
@@ -102,6 +114,7 @@
 	public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
 		if (this.body == null || actualReadableBytes() > 0) {
 			super.channelRead(context, message);
+			reportKept();
 			return;
 		}
 		ByteBuf in = (ByteBuf) message;
@@ -117,6 +130,16 @@
 		}
 		if (rest) {
 			super.channelRead(context, in);
+			reportKept();
+		}
+	}
+
+	private void reportKept() {
+		long undecodedBytes = (actualReadableBytes() > 0) ? internalBuffer().capacity() : 0;
+		long bytes = this.kept.partialBytes() + undecodedBytes;
+		if (bytes != this.reportedBytes) {
+			this.reportedBytes = bytes;
+			this.onKept.accept(bytes);
 		}
 	}
 
@@ -126,8 +149,16 @@
 			// The beginning of a head would be taken for that of the next response.
 			context.fireUserEventTriggered(Surplus.RECEIVED);
 		}
-		if (!readBody(context, in)) {
-			super.decode(context, in, out);
+		if (readBody(context, in)) {
+			return;
+		}
+		int from = in.readerIndex();
+		super.decode(context, in, out);
+		if (out.isEmpty()) {
+			this.kept.decoded(in, from);
+		}
+		else {
+			this.kept.completed();
 		}
 	}
 
--- a/whinjunction-router/src/test/java/io/whinjunction/router/UpstreamResponseDecoderTests.java
+++ b/whinjunction-router/src/test/java/io/whinjunction/router/UpstreamResponseDecoderTests.java
@@ -29,7 +29,8 @@
 
 	private static final String NEXT = "HTTP/1.1 204 No Content\r\n\r\n";
 
-	private final UpstreamResponseDecoder decoder = new UpstreamResponseDecoder(new HttpDecoderConfig());
+	private final UpstreamResponseDecoder decoder = new UpstreamResponseDecoder(new HttpDecoderConfig(), (bytes) -> {
+	});
 
 	private final Responses responses = new Responses(this.decoder);
 
@@ -38,7 +39,8 @@
 	@Property(tries = 2000)
 	void readsWhatTheHttpLibraryReadsHoweverTheBytesAreSplit(@ForAll long seed) {
 		Random random = new Random(seed);
-		UpstreamResponseDecoder own = new UpstreamResponseDecoder(new HttpDecoderConfig());
+		UpstreamResponseDecoder own = new UpstreamResponseDecoder(new HttpDecoderConfig(), (bytes) -> {
+		});
 		Responses actual = new Responses(own);
 		EmbeddedChannel tested = new EmbeddedChannel(own, actual);
 		String sent = HEAD + body(random) + end(random);
