A router that knows no other takes the share of one of many of a limit

PeerTableTests .aRouterThatHasNotReadTheListOfRoutersTakesTheShareOfOneOfMany failed before (1.0 instead of 0.25).

--- a/whinjunction-router/src/main/java/io/whinjunction/router/PeerTable.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/PeerTable.java
@@ -434,7 +434,9 @@
 	 * @return the share of each of these routers; 0 where this router is not among them
 	 */
 	double shareOf(long key, int max, long nowMs) {
-		int performers = Math.min(max, routerCount(nowMs));
+		// Before the list of routers was read, there may be as many as can share the
+		// task.
+		int performers = this.listed ? Math.min(max, routerCount(nowMs)) : max;
 		return (countNearer(key, nowMs) < performers) ? 1.0 / performers : 0;
 	}
 
--- a/whinjunction-router/src/test/java/io/whinjunction/router/PeerTableTests.java
+++ b/whinjunction-router/src/test/java/io/whinjunction/router/PeerTableTests.java
@@ -78,6 +78,16 @@
 		}
 	}
 
+	// Guards against an upstream that gets its whole limit from each of several routers
+	// that have just started and know no other.
+	@Test
+	void aRouterThatHasNotReadTheListOfRoutersTakesTheShareOfOneOfMany() {
+		assertThat(this.table.shareOf(5, 4, 0)).isEqualTo(0.25);
+
+		this.table.addListed(List.of());
+		assertThat(this.table.shareOf(5, 4, 0)).isEqualTo(1);
+	}
+
 	@Test
 	void aRouterThatIsGoneIsForgottenWhileTheOthersAreHeard() {
 		for (long nowMs = 0; nowMs < 120_000; nowMs += 1000) {
--- a/whinjunction-router/src/test/java/io/whinjunction/router/UpstreamLimitsTests.java
+++ b/whinjunction-router/src/test/java/io/whinjunction/router/UpstreamLimitsTests.java
@@ -157,7 +157,9 @@
 		Random random = new Random(routers);
 		IntStream.range(0, routers).mapToObj((index) -> "10.1.0." + index + ":7340").forEach((address) -> {
 			this.addresses.add(address);
-			this.tables.add(new PeerTable(address, random));
+			PeerTable table = new PeerTable(address, random);
+			table.addListed(List.of());
+			this.tables.add(table);
 		});
 		exchangeStatus();
 		return this.tables.stream().map((peers) -> new UpstreamLimits(context(peers), random)).toList();
