--- a/whinjunction-core/src/main/java/io/whinjunction/forward/FleetRetryBudget.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/forward/FleetRetryBudget.java
@@ -194,7 +194,7 @@
 				return;
 			}
 			end();
-			// The lender counts a loan no longer than it would take to arrive.
+			// The lender counts a loan as if it arrived within its validity.
 			if (this.own || nowMs - this.grantedMs > FleetRetryBudget.this.bucketMs) {
 				FleetRetryBudget.this.retries.add(nowMs, 1);
 			}
