--- a/whinjunction-core/src/main/java/io/whinjunction/memory/MemoryBudget.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/memory/MemoryBudget.java
@@ -18,8 +18,9 @@
  * Holders charge what they hold at its cost on the heap. Up to the soft limit nobody is
  * restricted. Above it the largest holders are shed first until an eighth of the limit is
  * free again, small ones only above the limit, so that the last quarter is kept for small
- * requests. A holder whose request an upstream may have begun is never shed;
- * {@link #admits} keeps the sum of those within the limits.
+ * requests. A request that an upstream may have begun is never refused: of its holder
+ * only what the upstream has sent is shed, and {@link #admits} keeps the sum of the rest
+ * within the limits.
  * <p>
  * Invariant: the used bytes are the sum of all open shares. Thread-safe.
  */
