A request's end names the upstreams that may have run it, those of relays among them

Neither the log nor a metric told on how many upstreams a request ran: a relay said how often it sent a request, not where, and a request that was answered left its last upstream only. event=request gets ran-at and not-counted (the upstreams that the decision about another attempt left out, and why), relays name their upstreams in whin-relay-upstreams, and whin_router_request_upstreams_total counts requests by upstreams, within or beyond their route. Nothing is decided by any of it yet.

--- a/whinjunction-router/src/main/java/io/whinjunction/router/Attempt.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/Attempt.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 
 import com.google.common.flogger.FluentLogger;
 import io.netty.buffer.ByteBuf;
@@ -97,6 +98,9 @@
 
 	private int sentByRelay;
 
+	/** The upstreams that the relay names in its answer. */
+	private Set<String> upstreamsOfRelay = Set.of();
+
 	private Answer answer;
 
 	private boolean streaming;
@@ -445,6 +449,19 @@
 		return this.sentByRelay;
 	}
 
+	/**
+	 * Returns the upstreams that may run the request because of this attempt, once it was
+	 * sent.
+	 * @return their incarnations; the peer itself while it is not known where it sends
+	 * the request
+	 */
+	Set<String> upstreams() {
+		return switch (this.target) {
+			case Target.Direct direct -> Set.of(this.first);
+			case Target.Relay relay -> this.upstreamsOfRelay.isEmpty() ? Set.of(this.first) : this.upstreamsOfRelay;
+		};
+	}
+
 	/**
 	 * Whether the peer that was to relay the request answered it.
 	 * @return {@code false} if it could not be reached, or its answer was lost
@@ -568,6 +585,7 @@
 			case Target.Relay relay -> {
 				this.relayOutcome = RelayHeaders.outcome(headers);
 				this.sentByRelay = RelayHeaders.sent(headers);
+				this.upstreamsOfRelay = RelayHeaders.upstreams(headers);
 				// A peer that refuses the request may not have sent it.
 				if (this.relayOutcome != RelayHeaders.Outcome.NOT_RUN) {
 					this.grant.settle();
--- a/whinjunction-router/src/main/java/io/whinjunction/router/AttemptHistory.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/AttemptHistory.java
@@ -1,6 +1,8 @@
 package io.whinjunction.router;
 
+import java.util.Collection;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.Set;
 
 import io.whinjunction.forward.AttemptOutcome;
@@ -20,6 +22,8 @@
 
 	private final Set<String> mayHaveRunAt = new HashSet<>();
 
+	private final Set<String> ranAt = new LinkedHashSet<>();
+
 	private int sent;
 
 	private int notSent;
@@ -79,6 +83,23 @@
 		}
 	}
 
+	/**
+	 * Records that upstreams may have run the request, whatever became of it there.
+	 * @param incarnations the upstreams
+	 */
+	void recordRan(Collection<String> incarnations) {
+		this.ranAt.addAll(incarnations);
+	}
+
+	/**
+	 * Returns all upstreams that may have run the request, also those that have ended
+	 * since.
+	 * @return their incarnations in order; a live view
+	 */
+	Set<String> ranAt() {
+		return this.ranAt;
+	}
+
 	/**
 	 * Returns the upstreams that made the request fail.
 	 * @return their incarnations; a live view
--- a/whinjunction-router/src/main/java/io/whinjunction/router/ForwardSession.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/ForwardSession.java
@@ -567,6 +567,7 @@
 			return;
 		}
 		RetryPolicy.History before = this.history.forRetry(this.answerBegun, ended.progressed());
+		recordRan(ended, end);
 		this.history.recordEnd(ended.target().first().incarnation(), end);
 		// Checked before a repeat is taken from the budget that all routers share.
 		if (outlivesRouter()) {
@@ -591,6 +592,12 @@
 		}
 	}
 
+	private void recordRan(Attempt ended, AttemptOutcome end) {
+		if (end instanceof AttemptOutcome.Unknown || end instanceof AttemptOutcome.Failed) {
+			this.history.recordRan(ended.upstreams());
+		}
+	}
+
 	// What was passed on of an answer without events cannot be taken back.
 	private boolean replayable() {
 		return !this.body.passingThrough() && (!this.answerBegun || this.route.kind() == RequestKind.STREAMING);
@@ -700,6 +707,7 @@
 		if (end instanceof AttemptOutcome.NotSent) {
 			this.history.recordNotSent();
 		}
+		recordRan(stalled, end);
 		this.history.recordEnd(stalled.target().first().incarnation(), end);
 		begin();
 		return true;
@@ -729,7 +737,7 @@
 	 * @param reason the reason, for logs
 	 */
 	void onResumptionRejected(String reason) {
-		this.attempt = null;
+		endAttempt();
 		giveUp(RetryObstacle.NOT_RESUMABLE, reason);
 	}
 
@@ -852,10 +860,16 @@
 		else {
 			survived();
 		}
-		this.attempt = null;
+		endAttempt();
 		finish("answered", Integer.toString(answer.status().code()), answer);
 	}
 
+	// Its upstream answered the request.
+	private void endAttempt() {
+		this.history.recordRan(this.attempt.upstreams());
+		this.attempt = null;
+	}
+
 	/**
 	 * Records that a relay refused the request.
 	 * @param retryAfterMs when it may take it, in milliseconds; -1 if it named no time
@@ -923,7 +937,7 @@
 	 */
 	void onPassedOnFailure(HttpResponseStatus status) {
 		survived();
-		this.attempt = null;
+		endAttempt();
 		end("failed-upstream", "status-" + status.code());
 		this.caller.endAnswer();
 	}
@@ -934,7 +948,7 @@
 	 */
 	void onStreamEnd(Answer head) {
 		ranWell(this.attempt.headAtMs());
-		this.attempt = null;
+		endAttempt();
 		recordAnswered();
 		if (!this.answerBegun) {
 			finish("answered", "empty", head);
@@ -962,7 +976,7 @@
 				case "refused" -> RelayHeaders.Outcome.NOT_RUN;
 				case "denied" -> RelayHeaders.Outcome.DENIED;
 				default -> RelayHeaders.Outcome.UNKNOWN;
-			}, this.history.sent());
+			}, this.history.sent(), this.history.sentTo());
 		}
 	}
 
@@ -983,6 +997,9 @@
 			this.timeout.cancel(false);
 		}
 		if (this.attempt != null) {
+			if (underWay) {
+				this.history.recordRan(this.attempt.upstreams());
+			}
 			this.attempt.abandon();
 			this.attempt = null;
 		}
@@ -1075,6 +1092,15 @@
 		return this.body;
 	}
 
+	/**
+	 * Returns the upstreams that may have run the request and do not count as those that
+	 * its route allows.
+	 * @return for each its incarnation and the reason
+	 */
+	List<String> notCounted() {
+		return this.search.notCounted();
+	}
+
 	/**
 	 * Whether the answer has begun and waits to be resumed at an upstream.
 	 * @return {@code false} while an attempt is under way
--- a/whinjunction-router/src/main/java/io/whinjunction/router/RelayHeaders.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/RelayHeaders.java
@@ -34,6 +34,9 @@
 	/** How often the relay sent the request to upstreams. */
 	private static final AsciiString SENT = AsciiString.cached("whin-relay-sent");
 
+	/** The incarnations of the upstreams that the relay sent it to, joined by commas. */
+	private static final AsciiString UPSTREAMS = AsciiString.cached("whin-relay-upstreams");
+
 	private RelayHeaders() {
 	}
 
@@ -66,23 +69,32 @@
 			return Optional.empty();
 		}
 		try {
-			Set<String> incarnations = Arrays.stream(tried.split(","))
-				.filter((incarnation) -> !incarnation.isEmpty())
-				.collect(Collectors.toUnmodifiableSet());
 			return Optional
-				.of(new Origin(router, Long.parseLong(version), Math.max(0, Long.parseLong(waitedMs)), incarnations));
+				.of(new Origin(router, Long.parseLong(version), Math.max(0, Long.parseLong(waitedMs)), split(tried)));
 		}
 		catch (NumberFormatException ex) {
 			return Optional.empty();
 		}
 	}
 
+	private static Set<String> split(String incarnations) {
+		return Arrays.stream(incarnations.split(","))
+			.filter((incarnation) -> !incarnation.isEmpty())
+			.collect(Collectors.toUnmodifiableSet());
+	}
+
 	/**
 	 * Removes all headers of relays.
 	 * @param headers the headers that were received
 	 */
 	static void remove(HttpHeaders headers) {
-		headers.remove(ORIGIN).remove(VERSION).remove(TRIED).remove(WAITED_MS).remove(OUTCOME).remove(SENT);
+		headers.remove(ORIGIN)
+			.remove(VERSION)
+			.remove(TRIED)
+			.remove(WAITED_MS)
+			.remove(OUTCOME)
+			.remove(SENT)
+			.remove(UPSTREAMS);
 	}
 
 	/**
@@ -90,10 +102,23 @@
 	 * @param headers the headers to send
 	 * @param outcome what the answer says about the request
 	 * @param sent how often the request was sent to upstreams
+	 * @param upstreams the incarnations of these upstreams
 	 */
-	static void setOutcome(HttpHeaders headers, Outcome outcome, int sent) {
+	static void setOutcome(HttpHeaders headers, Outcome outcome, int sent, Collection<String> upstreams) {
 		headers.set(OUTCOME, outcome.logName());
 		headers.setInt(SENT, sent);
+		if (!upstreams.isEmpty()) {
+			headers.set(UPSTREAMS, String.join(",", upstreams));
+		}
+	}
+
+	/**
+	 * Returns the upstreams that a relay sent the request to.
+	 * @param headers the headers of the answer
+	 * @return their incarnations; empty if the relay does not name them
+	 */
+	static Set<String> upstreams(HttpHeaders headers) {
+		return split(headers.get(UPSTREAMS, ""));
 	}
 
 	/**
--- a/whinjunction-router/src/main/java/io/whinjunction/router/RequestLog.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/RequestLog.java
@@ -1,5 +1,6 @@
 package io.whinjunction.router;
 
+import java.util.Collection;
 import java.util.stream.Collectors;
 
 import com.google.common.flogger.FluentLogger;
@@ -21,6 +22,9 @@
 	/** Bounds the length of a log line. */
 	private static final int MAX_LOGGED_PARTS = 4;
 
+	/** The same for the upstreams that ran a request. */
+	private static final int MAX_LOGGED_UPSTREAMS = 8;
+
 	/** The outcome of a request whose caller closed its connection. */
 	static final String GONE = "gone";
 
@@ -44,13 +48,17 @@
 		if (outcome.equals(GONE)) {
 			router.metrics().callerLeft(phase);
 		}
+		if (session.route() != null) {
+			router.metrics().requestUpstreams(session.history().ranAt().size(), session.route().limits().maxAttempts());
+		}
 		RoutingConfiguration configuration = router.configuration();
 		logger.atInfo()
 			.log("event=request id=%s print=%s parts=%s outcome=%s reason=%s no-retry=%s kind=%s route=%s service=%s team=%s sent=%d not-sent=%d "
 					+ "events=%d tokens=%d+%d %s took-ms=%d aim-ms=%d gap-aim-ms=%d taken-in-stop-ms=%s %s version=%d proof-age-ms=%d origin=%s "
-					+ "rank=%d waited-ms=%d phase=%s sent-ms-ago=%d", session.request().id(), print(session),
-					parts(session), outcome, reason, (session.obstacle() != null) ? session.obstacle().logName() : "-",
-					kind, (session.route() != null) ? session.route().name() : "-",
+					+ "rank=%d waited-ms=%d phase=%s sent-ms-ago=%d ran-at=%s not-counted=%s", session.request().id(),
+					print(session), parts(session), outcome, reason,
+					(session.obstacle() != null) ? session.obstacle().logName() : "-", kind,
+					(session.route() != null) ? session.route().name() : "-",
 					(session.service() != null) ? session.service().name() : "-",
 					(session.teamName() != null) ? session.teamName() : "-", session.history().sent(),
 					session.history().notSent(), session.events().events(), session.request().promptTokens(),
@@ -58,7 +66,11 @@
 					gapAimMs(session.route()), takenInStopMs(router, tookMs), target(session.lastTarget()),
 					(configuration != null) ? configuration.version() : -1, router.proof().ageMs(router.bootMs()),
 					session.originName(), (session.route() != null) ? session.priority() : -1, session.waitedMs(),
-					phase.logName(), sentMsAgo);
+					phase.logName(), sentMsAgo, limited(session.history().ranAt()), limited(session.notCounted()));
+	}
+
+	private static String limited(Collection<String> words) {
+		return words.isEmpty() ? "-" : words.stream().limit(MAX_LOGGED_UPSTREAMS).collect(Collectors.joining(","));
 	}
 
 	/**
--- a/whinjunction-router/src/main/java/io/whinjunction/router/RouterMetrics.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/RouterMetrics.java
@@ -19,6 +19,9 @@
  */
 public final class RouterMetrics {
 
+	/** Requests that more upstreams may have run have one label. */
+	private static final int MANY_UPSTREAMS = 5;
+
 	private final PrometheusRegistry registry = new PrometheusRegistry();
 
 	private final Counter requests = Counter.builder()
@@ -49,6 +52,13 @@
 		.labelNames("service", "event")
 		.register(this.registry);
 
+	private final Counter requestUpstreams = Counter.builder()
+		.name("whin_router_request_upstreams_total")
+		.help("Requests by the number of upstreams that may have run them, and whether their route allows so many: within, beyond")
+		.withoutExemplars()
+		.labelNames("upstreams", "route")
+		.register(this.registry);
+
 	private final Counter relays = Counter.builder()
 		.name("whin_router_relays_total")
 		.help("Requests that this router handed to peers since it did not reach upstreams, by end")
@@ -152,6 +162,16 @@
 		this.retryBudgets.labelValues(service, event).inc();
 	}
 
+	/**
+	 * Counts a request that ended by the upstreams that may have run it.
+	 * @param upstreams how many did
+	 * @param allowed how many its route allows
+	 */
+	void requestUpstreams(int upstreams, int allowed) {
+		String label = (upstreams < MANY_UPSTREAMS) ? Integer.toString(upstreams) : MANY_UPSTREAMS + "+";
+		this.requestUpstreams.labelValues(label, (upstreams <= allowed) ? "within" : "beyond").inc();
+	}
+
 	/**
 	 * Counts a request that was handed to a peer.
 	 * @param end how it ended there, one of a few words
--- a/whinjunction-router/src/main/java/io/whinjunction/router/TargetSearch.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/TargetSearch.java
@@ -119,6 +119,28 @@
 			.collect(Collectors.toUnmodifiableSet());
 	}
 
+	/**
+	 * Returns the upstreams that may have run the request and do not count as those that
+	 * its route allows.
+	 * @return for each its incarnation and the reason
+	 */
+	List<String> notCounted() {
+		Set<String> tried = tried();
+		return this.session.history()
+			.ranAt()
+			.stream()
+			.filter((incarnation) -> !tried.contains(incarnation))
+			.map((incarnation) -> incarnation + ":" + reasonNotCounted(incarnation))
+			.toList();
+	}
+
+	private String reasonNotCounted(String incarnation) {
+		if (router().directory().find(incarnation) == null) {
+			return "unlisted";
+		}
+		return router().engineMonitor().lost(incarnation) ? "silent" : "other";
+	}
+
 	// A request keeps its route, but engines of a kind that the configuration listed
 	// later can serve it too.
 	private RoutedService currentService() {
