All routers together send a request to no more upstreams than its route allows

Callers' requests ran on more upstreams than their route's max-attempts, one attempt of the caller each.

Cause: a bound of one request that each process which handled it counted anew. The router that had the caller counted a relay as one upstream (and as none once an answer had begun), however many the relay used; once an answer had begun it left out upstreams that left two status queries unanswered, whose entry was missing, or that refused one connection, all of which may live and run what they have.

Now the count travels with the request. A relay is told which upstreams may run it, how often it was sent, and is allowed one further upstream; it names what it used in the head of its answer and leaves what follows to the router that has the caller. What a silent relay was allowed counts as used. Only an upstream that has ended for certain does not count (EndedUpstreams). A relay's 5xx of an upstream may be followed by another attempt, as the relay makes none.

--- a/whinjunction-core/src/main/java/io/whinjunction/forward/RetryObstacle.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/forward/RetryObstacle.java
@@ -15,6 +15,11 @@
 	NO_BUDGET("no-budget"),
 	/** No upstream can serve the request now. */
 	NO_UPSTREAM("no-upstream"),
+	/**
+	 * This router was allowed no further upstream; the router that has the caller decides
+	 * what follows.
+	 */
+	LEFT_TO_ORIGIN("left-to-origin"),
 	/** The last attempt to resume a stream ended before it sent an event. */
 	NO_PROGRESS("no-progress"),
 	/** A part of the answer has been passed on that cannot be resumed. */
@@ -38,7 +43,8 @@
 	public boolean temporary() {
 		return switch (this) {
 			case NO_BUDGET, NO_UPSTREAM, NO_PROGRESS -> true;
-			case NOT_REPEATABLE, NO_TIME, SENDS_USED, NOT_RESUMABLE, CRASHES_UPSTREAMS, STOPPING -> false;
+			case NOT_REPEATABLE, NO_TIME, SENDS_USED, LEFT_TO_ORIGIN, NOT_RESUMABLE, CRASHES_UPSTREAMS, STOPPING ->
+				false;
 		};
 	}
 
--- a/whinjunction-core/src/main/java/io/whinjunction/forward/RetryPolicy.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/forward/RetryPolicy.java
@@ -112,7 +112,7 @@
 		int maxSends = route.limits().maxAttempts();
 		// A route that allows one upstream gets no second attempt at all.
 		boolean more = maxSends > 1 && !(outcome instanceof AttemptOutcome.Failed);
-		return history.sent() < (more ? maxSends + EXTRA_SENDS : maxSends);
+		return history.sent() + history.sentBefore() < (more ? maxSends + EXTRA_SENDS : maxSends);
 	}
 
 	/** Grants what an attempt needs. */
@@ -132,13 +132,16 @@
 	 * Earlier attempts of a request. Immutable.
 	 *
 	 * @param sent how often it was sent, the last attempt included
+	 * @param sentBefore how often the router that has the caller had it sent before it
+	 * was handed to this one
 	 * @param notSent how often an attempt reached no upstream, the last attempt included
 	 * @param mayHaveRun whether an earlier attempt may have run
 	 * @param answerBegun whether a part of the answer was passed on to the caller
 	 * @param progressed whether the last attempt sent a part of the answer, or found that
 	 * an upstream has ended
 	 */
-	public record History(int sent, int notSent, boolean mayHaveRun, boolean answerBegun, boolean progressed) {
+	public record History(int sent, int sentBefore, int notSent, boolean mayHaveRun, boolean answerBegun,
+			boolean progressed) {
 	}
 
 }
--- a/whinjunction-core/src/test/java/io/whinjunction/forward/RetryPolicyTests.java
+++ b/whinjunction-core/src/test/java/io/whinjunction/forward/RetryPolicyTests.java
@@ -99,7 +99,7 @@
 	@Property
 	void anAnswerThatHasBegunAndCanBeResumedWaitsWhileTimeIsLeft(@ForAll @IntRange(min = 0, max = 3) int outcome,
 			@ForAll @IntRange(min = 1, max = 50) int sent, @ForAll boolean progressed, @ForAll RetryObstacle obstacle) {
-		RetryPolicy.History history = new RetryPolicy.History(sent, sent, true, true, progressed);
+		RetryPolicy.History history = new RetryPolicy.History(sent, 0, sent, true, true, progressed);
 
 		RetryDecision next = RetryPolicy.next(resumable(), OUTCOMES[outcome], history, RetryPolicy.MIN_ATTEMPT_MS,
 				(repeat) -> Optional.of(obstacle));
@@ -137,7 +137,7 @@
 	}
 
 	private static RetryPolicy.History history(int sent, int notSent, boolean mayHaveRun) {
-		return new RetryPolicy.History(sent, notSent, mayHaveRun, false, false);
+		return new RetryPolicy.History(sent, 0, notSent, mayHaveRun, false, false);
 	}
 
 	private static RetryDecision next(RequestKind kind, int maxAttempts, AttemptOutcome outcome, int sent) {
--- a/whinjunction-router/src/main/java/io/whinjunction/router/Attempt.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/Attempt.java
@@ -3,6 +3,8 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 
 import com.google.common.flogger.FluentLogger;
 import io.netty.buffer.ByteBuf;
@@ -74,6 +76,9 @@
 	 */
 	private final String first;
 
+	/** The number of this attempt among those of its request. */
+	private final int number;
+
 	private final AttemptLoad load;
 
 	private final RetryGrant grant;
@@ -137,9 +142,11 @@
 	 * @param session the request
 	 * @param target the upstream or the peer
 	 * @param grant what the retry budget granted; ended by this attempt
+	 * @param number the number of this attempt among those of the request
 	 */
-	Attempt(ForwardSession session, Target target, RetryGrant grant) {
+	Attempt(ForwardSession session, Target target, RetryGrant grant, int number) {
 		this.session = session;
+		this.number = number;
 		this.target = target;
 		this.grant = grant;
 		this.first = target.first().incarnation();
@@ -218,7 +225,7 @@
 			case Acquisition.Connected connected -> connected(connected.connection());
 			case Acquisition.Refused refused -> {
 				if (judgesUpstream()) {
-					this.foundEnded = this.session.history().recordUpstreamEnded(this.first);
+					this.foundEnded = this.session.history().recordRefused(this.first);
 				}
 				notConnected();
 			}
@@ -312,7 +319,7 @@
 				this.session.router()
 					.dialect()
 					.addCallerHeaders(headers, request.key(), this.session.leftMs(), lastEventId());
-				RelayHeaders.add(headers, this.session.origin());
+				RelayHeaders.add(headers, this.session.forRelay());
 			}
 		}
 		if (!this.session.body().passingThrough()) {
@@ -452,16 +459,22 @@
 	/**
 	 * Returns the upstreams that may run the request because of this attempt, once it was
 	 * sent.
-	 * @return their incarnations; the peer itself while it is not known where it sends
-	 * the request
+	 * @return their incarnations; a name of its own for each upstream of a peer that does
+	 * not name those that it uses
 	 */
 	Set<String> upstreams() {
 		return switch (this.target) {
 			case Target.Direct direct -> Set.of(this.first);
-			case Target.Relay relay -> this.upstreamsOfRelay.isEmpty() ? Set.of(this.first) : this.upstreamsOfRelay;
+			case Target.Relay relay -> this.upstreamsOfRelay.isEmpty() ? unknownUpstreams() : this.upstreamsOfRelay;
 		};
 	}
 
+	private Set<String> unknownUpstreams() {
+		return IntStream.range(0, Math.max(1, this.sentByRelay))
+			.mapToObj((index) -> this.first + "#" + this.number + "." + index)
+			.collect(Collectors.toUnmodifiableSet());
+	}
+
 	/**
 	 * Whether the peer that was to relay the request answered it.
 	 * @return {@code false} if it could not be reached, or its answer was lost
@@ -816,8 +829,7 @@
 	private void endBuffered() {
 		settle();
 		boolean failure = this.head.status() >= HttpResponseStatus.INTERNAL_SERVER_ERROR.code();
-		// A relay has already repeated what may be repeated.
-		if (failure && this.session.route().repeatable() && this.target instanceof Target.Direct) {
+		if (failure && this.session.route().repeatable()) {
 			this.session.onFailedAnswer(this.answer);
 		}
 		else {
--- a/whinjunction-router/src/main/java/io/whinjunction/router/AttemptHistory.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/AttemptHistory.java
@@ -26,6 +26,8 @@
 
 	private int sent;
 
+	private int sentBefore;
+
 	private int notSent;
 
 	private boolean mayHaveRun;
@@ -40,12 +42,24 @@
 	}
 
 	/**
-	 * Records that another router has sent the request to an upstream that may run it.
-	 * @param incarnation the upstream
+	 * Records what the router that has the caller knows of the request.
+	 * @param incarnations the upstreams that may run it
+	 * @param sends how often it was sent to upstreams
 	 */
-	void recordTried(String incarnation) {
-		this.sentTo.add(incarnation);
-		this.mayHaveRunAt.add(incarnation);
+	void recordBefore(Collection<String> incarnations, int sends) {
+		this.sentBefore = sends;
+		this.sentTo.addAll(incarnations);
+		this.mayHaveRunAt.addAll(incarnations);
+	}
+
+	/**
+	 * Records that a relay has sent the request.
+	 * @param incarnations the upstreams that it was sent to
+	 * @param sends how often it was sent
+	 */
+	void recordRelayed(Collection<String> incarnations, int sends) {
+		this.sent += sends;
+		this.sentTo.addAll(incarnations);
 	}
 
 	/** Records an attempt that ended before anything was sent. */
@@ -54,12 +68,11 @@
 	}
 
 	/**
-	 * Records that an upstream has ended.
+	 * Records that an upstream's instance refused a connection.
 	 * @param incarnation the upstream
-	 * @return whether that was not known for this request
+	 * @return whether it had not made the request fail before
 	 */
-	boolean recordUpstreamEnded(String incarnation) {
-		this.mayHaveRunAt.remove(incarnation);
+	boolean recordRefused(String incarnation) {
 		return this.failedAt.add(incarnation);
 	}
 
@@ -73,13 +86,14 @@
 
 	/**
 	 * Records the end of an attempt.
-	 * @param incarnation the upstream that it was sent to
+	 * @param incarnations the upstreams that it was sent to
 	 * @param end how it ended
 	 */
-	void recordEnd(String incarnation, AttemptOutcome end) {
+	void recordEnd(Collection<String> incarnations, AttemptOutcome end) {
 		if (end instanceof AttemptOutcome.Unknown || end instanceof AttemptOutcome.Failed) {
 			this.mayHaveRun = true;
-			this.mayHaveRunAt.add(incarnation);
+			this.mayHaveRunAt.addAll(incarnations);
+			this.ranAt.addAll(incarnations);
 		}
 	}
 
@@ -117,8 +131,7 @@
 	}
 
 	/**
-	 * Returns the upstreams that may have run the request, without those that are known
-	 * to have ended since.
+	 * Returns the upstreams that may have run the request, also for another router.
 	 * @return their incarnations; a live view
 	 */
 	Set<String> mayHaveRunAt() {
@@ -129,6 +142,14 @@
 		return this.sent;
 	}
 
+	/**
+	 * Returns how often the request was sent to upstreams, by any router.
+	 * @return the count
+	 */
+	int sentAltogether() {
+		return this.sentBefore + this.sent;
+	}
+
 	int notSent() {
 		return this.notSent;
 	}
@@ -145,7 +166,8 @@
 	 * @return the values
 	 */
 	RetryPolicy.History forRetry(boolean answerBegun, boolean progressed) {
-		return new RetryPolicy.History(this.sent, this.notSent, this.mayHaveRun, answerBegun, progressed);
+		return new RetryPolicy.History(this.sent, this.sentBefore, this.notSent, this.mayHaveRun, answerBegun,
+				progressed);
 	}
 
 }
--- a/whinjunction-router/src/main/java/io/whinjunction/router/EngineMonitor.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/EngineMonitor.java
@@ -239,6 +239,7 @@
 	 * @param incarnation the incarnation of the engine
 	 */
 	void workingReportReceived(String incarnation) {
+		this.router.endedUpstreams().lives(incarnation);
 		Suspicion suspicion = this.suspicions.remove(incarnation);
 		if (suspicion == null && !this.workingAtMs.containsKey(incarnation)) {
 			return;
--- a/whinjunction-router/src/main/java/io/whinjunction/router/ForwardSession.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/ForwardSession.java
@@ -87,6 +87,9 @@
 
 	private Attempt attempt;
 
+	/** How many attempts have begun. */
+	private int attempts;
+
 	/** The initial target of the newest attempt; {@code null} before the first. */
 	private Target lastTarget;
 
@@ -149,7 +152,7 @@
 		this.body = new RequestBody(contentLength);
 		this.startedMs = router.nowMs() - relayedFor.map(RelayHeaders.Origin::waitedMs).orElse(0L);
 		this.resumeTimer = new ResumeTimer(router);
-		relayedFor.ifPresent((origin) -> origin.tried().forEach(this.history::recordTried));
+		relayedFor.ifPresent((origin) -> this.history.recordBefore(origin.tried(), origin.sent()));
 	}
 
 	/** Decides on the head; the first attempt waits for the body. */
@@ -488,6 +491,9 @@
 			this.crashRetryAfterMs = crashing.getAsLong();
 			return Optional.of(RetryObstacle.CRASHES_UPSTREAMS);
 		}
+		if (this.search.leftToOrigin()) {
+			return Optional.of(RetryObstacle.LEFT_TO_ORIGIN);
+		}
 		Optional<Target> target = this.search.find();
 		if (target.isEmpty()) {
 			return Optional.of(RetryObstacle.NO_UPSTREAM);
@@ -512,7 +518,7 @@
 			return;
 		}
 		this.crashRetrial = this.router.crashGuard().isRefused(this.identity);
-		this.attempt = new Attempt(this, this.lastTarget, granted);
+		this.attempt = new Attempt(this, this.lastTarget, granted, ++this.attempts);
 		this.attempt.start();
 	}
 
@@ -567,8 +573,7 @@
 			return;
 		}
 		RetryPolicy.History before = this.history.forRetry(this.answerBegun, ended.progressed());
-		recordRan(ended, end);
-		this.history.recordEnd(ended.target().first().incarnation(), end);
+		this.history.recordEnd(ended.upstreams(), end);
 		// Checked before a repeat is taken from the budget that all routers share.
 		if (outlivesRouter()) {
 			giveUp(RetryObstacle.STOPPING, RetryObstacle.STOPPING.logName());
@@ -582,19 +587,10 @@
 	}
 
 	// Until a relay has answered, it is not known whether an upstream got the request.
-	// What
-	// upstreams turned away counts against the route's sends and the retry budget too.
+	// What upstreams turned away counts against the route's sends too.
 	private void recordRelayed(Attempt ended, AttemptOutcome end) {
-		if (ended.target() instanceof Target.Relay relay && !(end instanceof AttemptOutcome.NotSent)) {
-			for (int sent = 0; sent < Math.max(1, ended.sentByRelay()); sent++) {
-				this.history.recordSent(relay.first().incarnation());
-			}
-		}
-	}
-
-	private void recordRan(Attempt ended, AttemptOutcome end) {
-		if (end instanceof AttemptOutcome.Unknown || end instanceof AttemptOutcome.Failed) {
-			this.history.recordRan(ended.upstreams());
+		if (ended.target() instanceof Target.Relay && !(end instanceof AttemptOutcome.NotSent)) {
+			this.history.recordRelayed(ended.upstreams(), Math.max(1, ended.sentByRelay()));
 		}
 	}
 
@@ -695,6 +691,11 @@
 		if (next instanceof RetryDecision.Wait wait) {
 			this.obstacle = wait.obstacle();
 		}
+		if (this.answerBegun && next instanceof RetryDecision.Fail fail
+				&& fail.obstacle() == RetryObstacle.LEFT_TO_ORIGIN) {
+			giveUp(fail.obstacle(), end.reason());
+			return true;
+		}
 		if (!(next instanceof RetryDecision.Retry)) {
 			return false;
 		}
@@ -707,8 +708,7 @@
 		if (end instanceof AttemptOutcome.NotSent) {
 			this.history.recordNotSent();
 		}
-		recordRan(stalled, end);
-		this.history.recordEnd(stalled.target().first().incarnation(), end);
+		this.history.recordEnd(stalled.upstreams(), end);
 		begin();
 		return true;
 	}
@@ -753,7 +753,10 @@
 		}
 		Upstream first = ended.target().first();
 		if (first.isRouter()) {
-			this.history.recordFailure(first.incarnation());
+			// A relay whose upstream failed can use another one.
+			if (ended.sentByRelay() == 0) {
+				this.history.recordFailure(first.incarnation());
+			}
 			if (!ended.answeredByRelay()) {
 				this.router.relays().failed(first);
 			}
@@ -1054,8 +1057,16 @@
 	 * Describes the request for a relay.
 	 * @return what the relay has to know beyond the request itself
 	 */
+	RelayHeaders.Origin forRelay() {
+		return this.search.forRelay(this.router.nowMs() - this.startedMs);
+	}
+
+	/**
+	 * Returns what the router that has the caller knows of the request.
+	 * @return its description; {@code null} if it is this router
+	 */
 	RelayHeaders.Origin origin() {
-		return this.router.relays().origin(this.router.nowMs() - this.startedMs, this.search.tried());
+		return this.relayedFor;
 	}
 
 	/**
--- a/whinjunction-router/src/main/java/io/whinjunction/router/PeerRelays.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/PeerRelays.java
@@ -191,13 +191,17 @@
 	}
 
 	/**
-	 * Describes a request of this router for a relay.
+	 * Describes a request of this router for a relay. A relay gets one further upstream
+	 * at most: if nothing comes back, no more than that has to be taken as used.
 	 * @param waitedMs how long its caller has waited, in milliseconds
 	 * @param tried the incarnations of the upstreams that may run it
+	 * @param sent how often it was sent to upstreams
+	 * @param further whether its route allows a further upstream
 	 * @return the description
 	 */
-	RelayHeaders.Origin origin(long waitedMs, Collection<String> tried) {
-		return new RelayHeaders.Origin(this.name, this.router.configuration().version(), waitedMs, tried);
+	RelayHeaders.Origin origin(long waitedMs, Collection<String> tried, int sent, boolean further) {
+		return new RelayHeaders.Origin(this.name, this.router.configuration().version(), waitedMs, tried, sent,
+				further ? 1 : 0);
 	}
 
 	private long underWay(Upstream peer) {
--- a/whinjunction-router/src/main/java/io/whinjunction/router/RelayHeaders.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/RelayHeaders.java
@@ -25,13 +25,19 @@
 	/** The incarnations of the upstreams that may run the request, joined by commas. */
 	private static final AsciiString TRIED = AsciiString.cached("whin-relay-tried");
 
+	/** To how many upstreams more the relay may send the request. */
+	private static final AsciiString ALLOWED = AsciiString.cached("whin-relay-allowed");
+
 	/** How long the caller has waited, in milliseconds. */
 	private static final AsciiString WAITED_MS = AsciiString.cached("whin-relay-waited-ms");
 
 	/** What the answer says about the request: the name of an {@link Outcome}. */
 	private static final AsciiString OUTCOME = AsciiString.cached("whin-relay-outcome");
 
-	/** How often the relay sent the request to upstreams. */
+	/**
+	 * How often the request was sent to upstreams: in a request by other routers before,
+	 * in an answer by the relay.
+	 */
 	private static final AsciiString SENT = AsciiString.cached("whin-relay-sent");
 
 	/** The incarnations of the upstreams that the relay sent it to, joined by commas. */
@@ -49,6 +55,8 @@
 		headers.set(ORIGIN, origin.router());
 		headers.set(VERSION, Long.toString(origin.version()));
 		headers.set(WAITED_MS, Long.toString(origin.waitedMs()));
+		headers.setInt(SENT, origin.sent());
+		headers.setInt(ALLOWED, origin.allowed());
 		if (!origin.tried().isEmpty()) {
 			headers.set(TRIED, String.join(",", origin.tried()));
 		}
@@ -64,13 +72,16 @@
 		String tried = headers.get(TRIED, "");
 		String version = headers.get(VERSION, "");
 		String waitedMs = headers.get(WAITED_MS, "");
+		int sent = sent(headers);
+		// Routers of an earlier version set no bound.
+		int allowed = Math.max(0, headers.getInt(ALLOWED, Integer.MAX_VALUE));
 		remove(headers);
 		if (router == null) {
 			return Optional.empty();
 		}
 		try {
-			return Optional
-				.of(new Origin(router, Long.parseLong(version), Math.max(0, Long.parseLong(waitedMs)), split(tried)));
+			return Optional.of(new Origin(router, Long.parseLong(version), Math.max(0, Long.parseLong(waitedMs)),
+					split(tried), sent, allowed));
 		}
 		catch (NumberFormatException ex) {
 			return Optional.empty();
@@ -94,6 +105,7 @@
 			.remove(WAITED_MS)
 			.remove(OUTCOME)
 			.remove(SENT)
+			.remove(ALLOWED)
 			.remove(UPSTREAMS);
 	}
 
@@ -122,8 +134,8 @@
 	}
 
 	/**
-	 * Returns how often a relay sent the request to upstreams.
-	 * @param headers the headers of the answer
+	 * Returns how often the request was sent to upstreams.
+	 * @param headers the headers of the request or the answer
 	 * @return the count; 0 if it is missing or can't be read
 	 */
 	static int sent(HttpHeaders headers) {
@@ -171,9 +183,12 @@
 	 * @param router the name of that router
 	 * @param version the version of its configuration
 	 * @param waitedMs how long the caller has waited, in milliseconds
-	 * @param tried the incarnations of the upstreams that may run the request
+	 * @param tried the incarnations of the upstreams that may run the request, and a name
+	 * of its own for each that is not known
+	 * @param sent how often it was sent to upstreams
+	 * @param allowed to how many further upstreams it may be sent
 	 */
-	record Origin(String router, long version, long waitedMs, Collection<String> tried) {
+	record Origin(String router, long version, long waitedMs, Collection<String> tried, int sent, int allowed) {
 	}
 
 }
--- a/whinjunction-router/src/main/java/io/whinjunction/router/Router.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/Router.java
@@ -102,6 +102,8 @@
 
 	private final ReachabilityMonitor reachability;
 
+	private final EndedUpstreams endedUpstreams = new EndedUpstreams(this);
+
 	private final PeerRelays relays;
 
 	private final FleetStore store;
@@ -165,7 +167,8 @@
 		this.availability = new UpstreamAvailability(this, this::replan);
 		this.reachability = new ReachabilityMonitor(this, new ReachabilityListener());
 		this.relays = new PeerRelays(this, settings.name(), (address) -> peerLink().query(address));
-		this.pool = new UpstreamPool(this.loop, this.dialect, this.ticker, this.availability, this.reachability);
+		this.pool = new UpstreamPool(this.loop, this.dialect, this.ticker, this.availability,
+				new UpstreamPool.Evidence(this.reachability, this.endedUpstreams));
 		this.directory = new UpstreamDirectory((upstream) -> this.pool.drop(upstream.incarnation()));
 		this.engineMonitor = new EngineMonitor(this, ports.engines(), this::engineStateChanged,
 				() -> leadership().holds(), new ReceptionCheck(this, () -> peerLink().queryActive()));
@@ -174,6 +177,7 @@
 		this.engines = ports.engines();
 		this.engines.onAnswer((engine, status, notice) -> {
 			this.reachability.heard(engine);
+			this.endedUpstreams.lives(engine.incarnation());
 			this.availability.answered(engine, status, notice);
 		});
 		this.configurationSynchronizer = new ConfigurationSynchronizer(this.loop, ports.store(), this.proof, boot,
@@ -472,6 +476,11 @@
 		return this.reachability;
 	}
 
+	@Override
+	public EndedUpstreams endedUpstreams() {
+		return this.endedUpstreams;
+	}
+
 	@Override
 	public PeerRelays relays() {
 		return this.relays;
--- a/whinjunction-router/src/main/java/io/whinjunction/router/RouterContext.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/RouterContext.java
@@ -98,6 +98,12 @@
 	 */
 	ReachabilityMonitor reachability();
 
+	/**
+	 * Returns what is known of upstreams that have ended.
+	 * @return the upstreams
+	 */
+	EndedUpstreams endedUpstreams();
+
 	/**
 	 * Returns the requests that are handed to peers, and those of peers.
 	 * @return the relays
--- a/whinjunction-router/src/main/java/io/whinjunction/router/TargetSearch.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/TargetSearch.java
@@ -18,8 +18,9 @@
  * reaches one.
  * <p>
  * Invariants: a request of a peer is not handed on to another one; an upstream that made
- * the request fail is chosen again only for an answer that has begun. Confined to the
- * event loop.
+ * the request fail is chosen again only for an answer that has begun; all routers that
+ * handle a request together choose no more upstreams than its route allows, not counting
+ * those that have ended. Confined to the event loop.
  */
 final class TargetSearch {
 
@@ -61,7 +62,15 @@
 	}
 
 	private Optional<Target> chooseRelay() {
-		return this.session.relayed() ? Optional.empty() : router().relays().choose(service(), failedAt());
+		if (this.session.relayed()) {
+			return Optional.empty();
+		}
+		Optional<Target> relay = router().relays().choose(service(), failedAt());
+		if (relay.isEmpty() && this.session.answerBegun()) {
+			// What failed a while ago may work again, and there may be nothing else.
+			relay = router().relays().choose(service(), Set.of());
+		}
+		return relay;
 	}
 
 	private Optional<Target> chooseUpstream() {
@@ -74,6 +83,10 @@
 				.collect(Collectors.toUnmodifiableSet());
 			target = router().chooser().choose(criteria(stillSilent), router().nowMs());
 		}
+		if (target.isEmpty() && this.session.answerBegun()) {
+			// Where they have ended, another upstream may take their place.
+			router().endedUpstreams().look(tried());
+		}
 		if (target.isEmpty() && this.session.obstacle() != RetryObstacle.NO_UPSTREAM) {
 			RequestLog.noTarget(this.session, router().chooser().unusable(criteria, router().nowMs()));
 		}
@@ -82,7 +95,7 @@
 
 	private TargetChooser.Criteria criteria(Set<String> excluded) {
 		Set<String> tried = tried();
-		boolean again = RetryPolicy.onlyTriedUpstreams(this.session.route(), tried.size());
+		boolean again = !allowsFurther(tried.size()) || shareUsed(tried.size());
 		return new TargetChooser.Criteria(currentService(), this.session.expectedTokens(), excluded,
 				again ? tried : null, !this.session.answerBegun());
 	}
@@ -100,23 +113,54 @@
 	}
 
 	/**
-	 * Returns the upstreams that count as those that the route allows for the request.
-	 * @return their incarnations
+	 * Whether this router relays the request and has sent it to all further upstreams
+	 * that it was allowed, although the route allows more.
+	 * @return whether the router that has the caller can send it where this one may not
+	 */
+	boolean leftToOrigin() {
+		int tried = tried().size();
+		return this.session.relayed() && this.session.origin().allowed() > 0 && shareUsed(tried)
+				&& allowsFurther(tried);
+	}
+
+	private boolean allowsFurther(int tried) {
+		return !RetryPolicy.onlyTriedUpstreams(this.session.route(), tried);
+	}
+
+	private boolean shareUsed(int tried) {
+		return this.session.relayed()
+				&& tried - this.session.origin().tried().size() >= this.session.origin().allowed();
+	}
+
+	/**
+	 * Describes the request for a relay.
+	 * @param waitedMs how long its caller has waited, in milliseconds
+	 * @return what the relay has to know beyond the request itself
 	 */
-	Set<String> tried() {
-		return this.session.answerBegun() ? mayStillRunIt() : this.session.history().sentTo();
+	RelayHeaders.Origin forRelay(long waitedMs) {
+		Set<String> tried = triedBefore();
+		return router().relays()
+			.origin(waitedMs, tried, this.session.history().sentAltogether(), allowsFurther(tried.size()));
+	}
+
+	// Counts the attempt under way too.
+	private Set<String> tried() {
+		Set<String> before = triedBefore();
+		Attempt attempt = this.session.attempt();
+		if (attempt == null || !attempt.sent()) {
+			return before;
+		}
+		return Stream.concat(before.stream(), attempt.upstreams().stream()).collect(Collectors.toUnmodifiableSet());
 	}
 
 	// Upstreams that have ended, or that did not run the request, do not count for an
 	// answer that has begun.
-	private Set<String> mayStillRunIt() {
-		Attempt attempt = this.session.attempt();
-		Stream<String> underWay = (attempt != null && attempt.sent())
-				? Stream.of(attempt.target().first().incarnation()) : Stream.empty();
-		return Stream.concat(this.session.history().mayHaveRunAt().stream(), underWay)
-			.filter((incarnation) -> router().directory().find(incarnation) != null
-					&& !router().engineMonitor().lost(incarnation))
-			.collect(Collectors.toUnmodifiableSet());
+	private Set<String> triedBefore() {
+		AttemptHistory history = this.session.history();
+		return this.session.answerBegun() ? history.mayHaveRunAt()
+			.stream()
+			.filter((incarnation) -> !router().endedUpstreams().ended(incarnation))
+			.collect(Collectors.toUnmodifiableSet()) : history.sentTo();
 	}
 
 	/**
@@ -130,17 +174,10 @@
 			.ranAt()
 			.stream()
 			.filter((incarnation) -> !tried.contains(incarnation))
-			.map((incarnation) -> incarnation + ":" + reasonNotCounted(incarnation))
+			.map((incarnation) -> incarnation + ":ended")
 			.toList();
 	}
 
-	private String reasonNotCounted(String incarnation) {
-		if (router().directory().find(incarnation) == null) {
-			return "unlisted";
-		}
-		return router().engineMonitor().lost(incarnation) ? "silent" : "other";
-	}
-
 	// A request keeps its route, but engines of a kind that the configuration listed
 	// later can serve it too.
 	private RoutedService currentService() {
--- a/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamDirectory.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamDirectory.java
@@ -48,7 +48,7 @@
 	private final Set<String> superseded = boundedSet();
 
 	/** Incarnations whose entries were removed, oldest first. */
-	private final Set<String> gone = boundedSet();
+	private final Map<String, Upstream> gone = boundedMap();
 
 	/** Incarnations that stated that they leave, oldest first. */
 	private final Set<String> statedLeaving = boundedSet();
@@ -64,14 +64,18 @@
 	}
 
 	private static Set<String> boundedSet() {
-		return Collections.newSetFromMap(new LinkedHashMap<>() {
+		return Collections.newSetFromMap(boundedMap());
+	}
+
+	private static <T> Map<String, T> boundedMap() {
+		return new LinkedHashMap<>() {
 
 			@Override
-			protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
+			protected boolean removeEldestEntry(Map.Entry<String, T> eldest) {
 				return size() > MAX_REMEMBERED;
 			}
 
-		});
+		};
 	}
 
 	/**
@@ -124,7 +128,30 @@
 	 * @return whether it was removed, as far as it is remembered
 	 */
 	boolean gone(String incarnation) {
-		return this.gone.contains(incarnation);
+		return this.gone.containsKey(incarnation);
+	}
+
+	/**
+	 * Finds an upstream whose entry was removed.
+	 * @param incarnation the incarnation
+	 * @return the upstream as it was listed last; {@code null} if it is listed, or is not
+	 * remembered
+	 */
+	Upstream former(String incarnation) {
+		return this.gone.get(incarnation);
+	}
+
+	/**
+	 * Returns whether the address of an upstream that is not listed any more belongs to
+	 * another one.
+	 * @param former the upstream
+	 * @return whether another one is listed with its address, of any service
+	 */
+	boolean addressTaken(Upstream former) {
+		return this.byId.values()
+			.stream()
+			.anyMatch((state) -> state.upstream().address().equals(former.address())
+					&& !state.incarnation().equals(former.incarnation()));
 	}
 
 	/**
@@ -188,7 +215,7 @@
 	private void remove(String id) {
 		UpstreamState state = this.byId.remove(id);
 		if (state != null) {
-			this.gone.add(state.incarnation());
+			this.gone.put(state.incarnation(), state.upstream());
 			this.byIncarnation.remove(state.incarnation());
 			this.byAddress.remove(addressKey(state.upstream()), state);
 			this.departureListener.accept(state.upstream());
--- a/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamPool.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamPool.java
@@ -58,7 +58,7 @@
 
 	private final UpstreamAvailability availability;
 
-	private final ReachabilityMonitor reachability;
+	private final Evidence evidence;
 
 	private final Map<String, Deque<UpstreamConnection>> idle = new HashMap<>();
 
@@ -71,10 +71,9 @@
 	 * @param dialect the names on the wire
 	 * @param ticker the clock
 	 * @param availability receives the head of each answer
-	 * @param reachability receives which connections are made, and which fail
+	 * @param evidence receives which connections are made, and which fail
 	 */
-	UpstreamPool(EventLoop loop, Dialect dialect, Ticker ticker, UpstreamAvailability availability,
-			ReachabilityMonitor reachability) {
+	UpstreamPool(EventLoop loop, Dialect dialect, Ticker ticker, UpstreamAvailability availability, Evidence evidence) {
 		this.connecting = new Bootstrap().group(loop)
 			.channelFactory(UpstreamSocket::new)
 			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
@@ -87,7 +86,7 @@
 		this.dialect = dialect;
 		this.ticker = ticker;
 		this.availability = availability;
-		this.reachability = reachability;
+		this.evidence = evidence;
 	}
 
 	/**
@@ -124,7 +123,8 @@
 	 * @param upstream the upstream
 	 */
 	void heard(Upstream upstream) {
-		this.reachability.heard(upstream);
+		this.evidence.reachability().heard(upstream);
+		this.evidence.ended().lives(upstream.incarnation());
 	}
 
 	/**
@@ -212,12 +212,15 @@
 		long startedMs = this.ticker.nowMs();
 		connecting.addListener((future) -> {
 			if (future.isSuccess()) {
-				this.reachability.connected(upstream);
+				this.evidence.reachability().connected(upstream);
+				this.evidence.ended().lives(upstream.incarnation());
 				done.accept(new Acquisition.Connected(connection));
 			}
 			else {
-				this.reachability.connectFailed(upstream, startedMs);
-				done.accept(failure(future.cause()));
+				Acquisition failed = failure(future.cause());
+				this.evidence.reachability().connectFailed(upstream, startedMs);
+				this.evidence.ended().connectFailed(upstream, startedMs, failed instanceof Acquisition.Refused);
+				done.accept(failed);
 			}
 		});
 	}
@@ -228,4 +231,13 @@
 		return refused ? new Acquisition.Refused() : new Acquisition.Failed();
 	}
 
+	/**
+	 * Receives what connections tell about upstreams.
+	 *
+	 * @param reachability judges this router's paths to them
+	 * @param ended judges whether they have ended
+	 */
+	record Evidence(ReachabilityMonitor reachability, EndedUpstreams ended) {
+	}
+
 }
