An answer whose head breaks the grammar of HTTP/1.1 is none

Callers got status 000 (and 99, 600, 2000 ...) as an answer, reason phrases with control bytes, and answers with a field X where the server had sent "X Note: a".

Cause: the HTTP library's decoder of responses takes any number for a status, any white space between the words of a status line, and cuts a field's name at a blank, of which it drops the rest; nothing of that can be seen in what it decodes. StrictResponseDecoder checks the words and names as they are split, also of interim responses and of fields after a body. It reads the answers of upstreams and peers, and replaces the library's decoder in the HTTP client, which reads those of the store, of engines and of all calls of the entry, the controller and the command line.

--- a/whinjunction-core/src/main/java/io/whinjunction/http/ResponseGuard.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/http/ResponseGuard.java
@@ -8,9 +8,13 @@
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPromise;
+import io.netty.channel.CombinedChannelDuplexHandler;
 import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -19,7 +23,8 @@
 
 /**
  * Stands before the HTTP client library's handler of a connection and passes on nothing
- * but the response to the call that was written last.
+ * but the response to the call that was written last. The library's decoder of responses
+ * is replaced by a strict one.
  * <p>
  * Invariants: interim responses are dropped; a response that arrives while no call waits
  * closes the connection; one whose head is invalid fails its call. Confined to the event
@@ -29,6 +34,8 @@
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
+	private final StrictResponseDecoder decoder = new StrictResponseDecoder(new HttpDecoderConfig());
+
 	private boolean awaited;
 
 	private boolean interim;
@@ -41,12 +48,17 @@
 	 * @param connection the connection
 	 */
 	static void install(Channel connection) {
-		connection.pipeline().addBefore(ChannelManager.AHC_HTTP_HANDLER, "response-guard", new ResponseGuard());
+		ResponseGuard guard = new ResponseGuard();
+		connection.pipeline()
+			.replace(ChannelManager.HTTP_CLIENT_CODEC, ChannelManager.HTTP_CLIENT_CODEC,
+					new CombinedChannelDuplexHandler<>(guard.decoder, new HttpRequestEncoder()));
+		connection.pipeline().addBefore(ChannelManager.AHC_HTTP_HANDLER, "response-guard", guard);
 	}
 
 	@Override
 	public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
-		if (message instanceof HttpRequest) {
+		if (message instanceof HttpRequest request) {
+			this.decoder.expect(HttpMethod.HEAD.equals(request.method()));
 			this.awaited = true;
 			this.interim = false;
 		}
--- a/whinjunction-core/src/main/java/io/whinjunction/http/ResponseHeadValidator.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/http/ResponseHeadValidator.java
@@ -13,7 +13,6 @@
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 
 /**
@@ -51,10 +50,6 @@
 	}
 
 	private static Optional<String> problemOfHead(HttpResponse head, Collection<String> singleHeaders) {
-		if (!HttpVersion.HTTP_1_1.equals(head.protocolVersion())
-				&& !HttpVersion.HTTP_1_0.equals(head.protocolVersion())) {
-			return Optional.of("protocol version " + head.protocolVersion() + " is not HTTP/1.0 or HTTP/1.1");
-		}
 		if (HttpResponseStatus.SWITCHING_PROTOCOLS.equals(head.status())) {
 			return Optional.of("status 101 without a request for another protocol");
 		}
@@ -74,6 +69,9 @@
 			if (containsStatusLine(field.getValue())) {
 				return Optional.of("the value of " + field.getKey() + " contains a status line");
 			}
+			if (field.getValue().chars().anyMatch(StrictResponseDecoder::isControl)) {
+				return Optional.of("the value of " + field.getKey() + " contains a control byte");
+			}
 		}
 		return Optional.empty();
 	}
--- a/whinjunction-core/src/test/java/io/whinjunction/http/HttpCallerTests.java
+++ b/whinjunction-core/src/test/java/io/whinjunction/http/HttpCallerTests.java
@@ -219,6 +219,34 @@
 		assertThat(statusOf(this.caller.call(call(2000, false)))).isNotEqualTo(200);
 	}
 
+	// Guards against a call that counts as done, as absent or as not run by an answer
+	// that
+	// is none.
+	@ParameterizedTest
+	@ValueSource(strings = { "HTTP/1.1 000 OK", "HTTP/1.1 099 OK", "HTTP/1.1 600 OK", "HTTP/1.1 0200 OK",
+			"HTTP/1.1  200 OK", "HTTP/1.1 200 OK\r\nX Note: a", "HTTP/1.1 404 Not Found\r\nX-Note : a",
+			"HTTP/1.1 503 Busy\r\nX\u0001Note: a", "HTTP/1.1 102 Processing\r\nX Note: a\r\n\r\nHTTP/1.1 200 OK" })
+	void anAnswerWhoseHeadBreaksTheGrammarIsLost(String head) {
+		serve((socket) -> answer(socket, head + "\r\ncontent-length: 2\r\n\r\nok"));
+
+		assertThat(this.caller.call(call(2000, false))).isInstanceOf(CallResult.Lost.class);
+	}
+
+	// Guards against an answer without a body whose end is not found.
+	@Test
+	void theAnswerToAHeadRequestHasNoBody() {
+		serve((socket) -> {
+			answer(socket, "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n");
+			sleep(1000);
+		});
+		Call get = call(500, false);
+
+		CallResult result = this.caller.call(
+				new Call("HEAD", get.address(), get.pathAndQuery(), get.headers(), get.body(), get.timeoutMs(), false));
+
+		assertThat(result).isInstanceOf(CallResult.Response.class);
+	}
+
 	private static int statusOf(CallResult result) {
 		return (result instanceof CallResult.Response response) ? response.status() : -1;
 	}
--- a/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamResponseDecoder.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamResponseDecoder.java
@@ -13,13 +13,11 @@
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
-import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseDecoder;
-import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.InvalidChunkTerminationException;
 import io.whinjunction.http.KeptBytes;
+import io.whinjunction.http.StrictResponseDecoder;
 
 /**
  * Decodes responses of an upstream. On request the data of a chunked body goes straight
@@ -29,7 +27,7 @@
  * is read here, and decodes on from the first line that is not plain, at the latest from
  * that of the last chunk. Confined to the event loop.
  */
-final class UpstreamResponseDecoder extends HttpResponseDecoder {
+final class UpstreamResponseDecoder extends StrictResponseDecoder {
 
 	private final ChunkReader chunks = new ChunkReader();
 
@@ -43,8 +41,6 @@
 	/** Receives the data of the body; {@code null} while the library decodes. */
 	private Consumer<ByteBuf> body;
 
-	private boolean bodyless;
-
 	/** Whether a response is expected; bytes that arrive otherwise belong to none. */
 	private boolean expecting = true;
 
@@ -59,12 +55,9 @@
 		setCumulator(KeptBytes::cumulate);
 	}
 
-	/**
-	 * Prepares for the response to a request.
-	 * @param bodyless whether the method of the request rules out a body
-	 */
-	void expect(boolean bodyless) {
-		this.bodyless = bodyless;
+	@Override
+	public void expect(boolean bodylessRequest) {
+		super.expect(bodylessRequest);
 		this.body = null;
 		this.expecting = true;
 	}
@@ -103,13 +96,6 @@
 		return actualReadableBytes() == 0;
 	}
 
-	@Override
-	protected boolean isContentAlwaysEmpty(HttpMessage message) {
-		boolean interim = message instanceof HttpResponse response
-				&& response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
-		return (this.bodyless && !interim) || super.isContentAlwaysEmpty(message);
-	}
-
 	@Override
 	public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
 		if (this.body == null || actualReadableBytes() > 0) {
