The chunks of a request's body are gathered in one pass

Cause: the event loop made an HTTP object of each chunk, up to 2,700 for each read of 16 KB, and passed each through the pipeline. ChunkReader, which did this for answers already, reads the chunks of requests as well, and small ones in an array. One copy of it serves both.

--- a/whinjunction-core/src/main/java/io/whinjunction/http/server/StrictRequestDecoder.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/http/server/StrictRequestDecoder.java
@@ -5,11 +5,17 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultLastHttpContent;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.handler.codec.http.InvalidChunkTerminationException;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.whinjunction.http.ChunkReader;
 import io.whinjunction.http.KeptBytes;
 
 /**
@@ -21,9 +27,10 @@
  * A request that was sent ahead stays undecoded until its connection can serve it, and a
  * turn of the event loop decodes one request of a connection at most: a decoded head of
  * short fields takes a hundred times its bytes. What was received is kept on the heap, in
- * buffers of its own size, so that a few bytes do not keep a large read buffer.
- * Invariant: whatever is kept between two reads is reported to the listener. One per
- * connection; confined to its event loop.
+ * buffers of its own size, so that a few bytes do not keep a large read buffer. The data
+ * of small chunks that arrive together is passed on as one. Invariant: whatever is kept
+ * between two reads is reported to the listener. One per connection; confined to its
+ * event loop.
  */
 public final class StrictRequestDecoder extends HttpRequestDecoder {
 
@@ -44,6 +51,11 @@
 
 	private final KeptBytes kept = new KeptBytes();
 
+	private final ChunkReader chunks = new ChunkReader();
+
+	/** Whether plain chunks of a body are read here. */
+	private boolean inChunks;
+
 	/** What the head that was decoded last takes, in bytes. */
 	private long headBytes;
 
@@ -140,7 +152,9 @@
 			return;
 		}
 		int from = in.readerIndex();
-		super.decode(context, in, out);
+		if (!this.inChunks || !readChunks(in, out)) {
+			super.decode(context, in, out);
+		}
 		if (out.isEmpty()) {
 			this.kept.decoded(in, from);
 			this.betweenMessages &= this.kept.partialBytes() == 0;
@@ -149,6 +163,8 @@
 		if (out.getFirst() instanceof HttpRequest head) {
 			this.headBytes = this.kept.partialBytes() + in.readerIndex() - from
 					+ (long) KeptBytes.FIELD_BYTES * head.headers().size();
+			this.inChunks = head.decoderResult().isSuccess() && ChunkReader.reads(head);
+			this.chunks.begin();
 		}
 		this.kept.completed();
 		this.betweenMessages = out.getLast() instanceof LastHttpContent;
@@ -156,6 +172,23 @@
 		this.listener.decoded();
 	}
 
+	// Returns false if the library's decoder has to decode what comes next.
+	private boolean readChunks(ByteBuf in, List<Object> out) {
+		ChunkReader.Found found = this.chunks.read(in);
+		ByteBuf data = this.chunks.data(in);
+		if (data.isReadable()) {
+			out.add(new DefaultHttpContent(data.retain()));
+		}
+		if (found == ChunkReader.Found.INVALID) {
+			in.skipBytes(in.readableBytes());
+			HttpContent invalid = new DefaultLastHttpContent(Unpooled.EMPTY_BUFFER);
+			invalid.setDecoderResult(DecoderResult.failure(new InvalidChunkTerminationException()));
+			out.add(invalid);
+		}
+		this.inChunks = found == ChunkReader.Found.INCOMPLETE;
+		return this.inChunks || !out.isEmpty();
+	}
+
 	@Override
 	protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
 		// Keeps both headers, so that HeadGuard can refuse the request.
--- a/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamResponseDecoder.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamResponseDecoder.java
@@ -11,11 +11,9 @@
 import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.InvalidChunkTerminationException;
+import io.whinjunction.http.ChunkReader;
 import io.whinjunction.http.KeptBytes;
 import io.whinjunction.http.StrictResponseDecoder;
 
@@ -69,9 +67,7 @@
 	 * @param consumer receives the data, and does not own it
 	 */
 	void passChunks(HttpResponse head, Consumer<ByteBuf> consumer) {
-		List<String> codings = head.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
-		if (codings.size() == 1 && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(codings.getFirst())
-				&& HttpVersion.HTTP_1_1.equals(head.protocolVersion())) {
+		if (ChunkReader.reads(head)) {
 			this.chunks.begin();
 			this.body = consumer;
 		}
@@ -153,25 +149,10 @@
 		if (this.body == null) {
 			return false;
 		}
-		int dataStart = in.readerIndex();
-		int dataEnd = dataStart;
 		ChunkReader.Found found = this.chunks.read(in);
-		while (found == ChunkReader.Found.DATA) {
-			int bytes = this.chunks.dataBytes();
-			if (dataEnd == dataStart) {
-				dataStart = in.readerIndex();
-				dataEnd = dataStart + bytes;
-			}
-			else {
-				// Moves the data next to that of the chunk before it.
-				in.setBytes(dataEnd, in, in.readerIndex(), bytes);
-				dataEnd += bytes;
-			}
-			in.skipBytes(bytes);
-			found = this.chunks.read(in);
-		}
-		if (dataEnd > dataStart) {
-			this.body.accept(in.slice(dataStart, dataEnd - dataStart));
+		ByteBuf data = this.chunks.data(in);
+		if (data.isReadable()) {
+			this.body.accept(data);
 		}
 		if (found == ChunkReader.Found.INCOMPLETE) {
 			return true;
