--- a/whinjunction-router/src/main/java/io/whinjunction/router/ForwardSession.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/ForwardSession.java
@@ -1105,8 +1105,8 @@
 
 	/**
 	 * Returns the upstreams that may have run the request and do not count as those that
-	 * its route allows.
-	 * @return for each its incarnation and the reason
+	 * its route allows, as they have ended.
+	 * @return their incarnations
 	 */
 	List<String> notCounted() {
 		return this.search.notCounted();
--- a/whinjunction-router/src/main/java/io/whinjunction/router/TargetSearch.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/TargetSearch.java
@@ -165,17 +165,12 @@
 
 	/**
 	 * Returns the upstreams that may have run the request and do not count as those that
-	 * its route allows.
-	 * @return for each its incarnation and the reason
+	 * its route allows, as they have ended.
+	 * @return their incarnations
 	 */
 	List<String> notCounted() {
-		Set<String> tried = tried();
-		return this.session.history()
-			.ranAt()
-			.stream()
-			.filter((incarnation) -> !tried.contains(incarnation))
-			.map((incarnation) -> incarnation + ":ended")
-			.toList();
+		return this.session.answerBegun()
+				? this.session.history().ranAt().stream().filter(router().endedUpstreams()::ended).toList() : List.of();
 	}
 
 	// A request keeps its route, but engines of a kind that the configuration listed
