--- a/whinjunction-entry/src/test/java/io/whinjunction/entry/MisbehavingEntryCallersTests.java
+++ b/whinjunction-entry/src/test/java/io/whinjunction/entry/MisbehavingEntryCallersTests.java
@@ -16,7 +16,6 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Tag;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
