--- a/review/standins-2/Router2.java
+++ b/review/standins-2/Router2.java
@@ -107,7 +107,9 @@
 		builder.redirectInput(new File("/dev/null"));
 		builder.environment().put("WHINJUNCTION_SETTINGS", this.settings.toString());
 		builder.environment().put("WHIN_METRICS_PORT", Integer.toString(this.metrics));
-		this.process = builder.start();
+		Process started = builder.start();
+		this.process = started;
+		Runtime.getRuntime().addShutdownHook(new Thread(started::destroyForcibly));
 	}
 
 	boolean alive() {
