--- a/review/standins-2/Server2.java
+++ b/review/standins-2/Server2.java
@@ -19,9 +19,6 @@
 
 	}
 
-	/** A header that is added to each request: the port from which it came. */
-	static final String FROM_PORT = "x-from-port";
-
 	private final String id;
 
 	private final ServerSocket listener;
@@ -71,7 +68,6 @@
 			BufferedInputStream in = new BufferedInputStream(socket.getInputStream());
 			OutputStream out = socket.getOutputStream();
 			for (Http2.Message head = Http2.head(in); head != null; head = Http2.head(in)) {
-				head.headers().add(new String[] { FROM_PORT, Integer.toString(socket.getPort()) });
 				String expected = head.header("Whinjunction-Expect-Instance");
 				if (expected != null && !expected.equals(this.id)) {
 					out.write(Http2.bytes("HTTP/1.1 421 Misdirected Request\r\nWhinjunction-Instance-Id: " + this.id
--- a/review/standins-2/Store2.java
+++ b/review/standins-2/Store2.java
@@ -32,10 +32,6 @@
 
 	private long revision = 100;
 
-	private final List<ServerSocket> views = new ArrayList<>();
-
-	private volatile boolean silent;
-
 	private record Stored(String name, long revision, String spec) {
 
 		String json() {
@@ -51,23 +47,7 @@
 
 	Store2() throws IOException {
 		this.listener = new ServerSocket(0, 200, InetAddress.getByName("127.0.0.1"));
-		Thread.ofVirtual().start(() -> accept(this.listener, Map.of()));
-	}
-
-	/**
-	 * Opens a view of the store, in which addresses are replaced by others.
-	 * @return the address of the view
-	 */
-	String view(Map<String, String> addresses) throws IOException {
-		ServerSocket socket = new ServerSocket(0, 200, InetAddress.getByName("127.0.0.1"));
-		this.views.add(socket);
-		Thread.ofVirtual().start(() -> accept(socket, addresses));
-		return "127.0.0.1:" + socket.getLocalPort();
-	}
-
-	/** Leaves all calls unanswered, or answers again. */
-	void silent(boolean now) {
-		this.silent = now;
+		Thread.ofVirtual().start(this::accept);
 	}
 
 	String address() {
@@ -77,16 +57,13 @@
 	@Override
 	public void close() throws IOException {
 		this.listener.close();
-		for (ServerSocket view : this.views) {
-			view.close();
-		}
 	}
 
-	private void accept(ServerSocket from, Map<String, String> addresses) {
+	private void accept() {
 		try {
 			while (true) {
-				Socket socket = from.accept();
-				Thread.ofVirtual().start(() -> serve(socket, addresses));
+				Socket socket = this.listener.accept();
+				Thread.ofVirtual().start(() -> serve(socket));
 			}
 		}
 		catch (IOException ex) {
@@ -94,24 +71,14 @@
 		}
 	}
 
-	private void serve(Socket socket, Map<String, String> addresses) {
+	private void serve(Socket socket) {
 		try (socket) {
 			socket.setTcpNoDelay(true);
 			BufferedInputStream in = new BufferedInputStream(socket.getInputStream());
 			OutputStream out = socket.getOutputStream();
 			for (Http2.Message request = Http2.read(in, false); request != null; request = Http2.read(in, false)) {
-				if (this.silent) {
-					continue;
-				}
 				Reply reply = handle(request);
-				if (this.silent) {
-					continue;
-				}
-				String text = reply.body();
-				for (Map.Entry<String, String> address : addresses.entrySet()) {
-					text = text.replace("\"" + address.getKey() + "\"", "\"" + address.getValue() + "\"");
-				}
-				byte[] body = text.getBytes(StandardCharsets.UTF_8);
+				byte[] body = reply.body().getBytes(StandardCharsets.UTF_8);
 				out.write(Http2.bytes("HTTP/1.1 " + reply.status() + " Status\r\nContent-Type: application/json\r\n"
 						+ "Store-Era: 1\r\nContent-Length: " + body.length + "\r\n\r\n"));
 				out.write(body);
