--- a/review/4/src/Case4.java
+++ b/review/4/src/Case4.java
@@ -1,5 +1,4 @@
 import java.io.IOException;
-import java.nio.file.Path;
 
 /**
  * Another writer puts one entry into the list of servers, whose address is of another
@@ -13,11 +12,9 @@
 
 	private static final long WATCHED_MS = 40_000;
 
-	public static void main(String[] args) throws Exception {
+	public static void main(String[] args) {
 		int bytes = Integer.parseInt(System.getenv().getOrDefault("ENTRY_BYTES", Integer.toString(VALUE_BYTES)));
-		try (Record2 record = new Record2(Path.of(args[0])); Setup2 setup = new Setup2()) {
-			System.exit(run(record, setup, bytes));
-		}
+		Setup2.play(args[0], (record, setup) -> run(record, setup, bytes));
 	}
 
 	private static int run(Record2 record, Setup2 setup, int bytes) throws Exception {
