--- a/review/6/src/Case6.java
+++ b/review/6/src/Case6.java
@@ -1,4 +1,3 @@
-import java.nio.file.Path;
 
 /**
  * Another writer puts one entry into the list of servers that lacks fields which each
@@ -10,10 +9,8 @@
 
 	private static final long WATCHED_MS = 20_000;
 
-	public static void main(String[] args) throws Exception {
-		try (Record2 record = new Record2(Path.of(args[0])); Setup2 setup = new Setup2()) {
-			System.exit(run(record, setup));
-		}
+	public static void main(String[] args) {
+		Setup2.play(args[0], Case6::run);
 	}
 
 	private static int run(Record2 record, Setup2 setup) throws Exception {
