--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -7,4 +7,5 @@
 rm -rf "$out"
 mkdir -p "$out" || exit 2
 "$jdk/bin/javac" -d "$out" review/standins-2/*.java review/[4-8]/src/*.java || exit 2
+cp review/standins-2/wire.properties "$out" || exit 2
 echo "$jdk/bin/java" > "$out/java"
--- a/review/standins-2/Model2.java
+++ b/review/standins-2/Model2.java
@@ -42,7 +42,7 @@
 			if (length != null && body.length < Integer.parseInt(length)) {
 				return false;
 			}
-			return head.target().startsWith("/whinjunction/") ? control(out)
+			return head.target().startsWith(Wire2.PATH) ? control(out)
 					: stream(record, head, id, server[0].address(), out);
 		});
 		setup.servers.add(server[0]);
@@ -56,7 +56,7 @@
 
 	private static boolean control(OutputStream out) throws IOException {
 		byte[] report = Http2.bytes("{\"phase\":\"both\",\"models\":[{\"name\":\"m0\",\"version\":1,\"adapters\":[]}],"
-				+ "\"busy\":false,\"sequence\":2,\"queued\":0,\"active\":0,\"kv-in-use\":0,\"kv-size\":13000000,"
+				+ "\"busy\":false,\"sequence\":2,\"queued\":0,\"active\":0,\"" + Wire2.KV_IN_USE + "\":0,\"kv-size\":13000000,"
 				+ "\"sessions\":0,\"pace\":1.0,\"kind\":\"h200\",\"born\":1764000000123,\"stalled\":[],"
 				+ "\"layers\":[{\"from\":0,\"target\":80,\"version\":1}]}");
 		out.write(Http2.bytes("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: " + report.length
@@ -69,20 +69,20 @@
 	/** Runs a request if its path is this server alone, with all layers. */
 	private static boolean stream(Record2 record, Http2.Message head, String id, String address, OutputStream out)
 			throws IOException, InterruptedException {
-		String attempt = head.header("Whinjunction-Attempt-Id");
-		String hops = head.header("Whinjunction-Hops");
+		String attempt = head.header(Wire2.ATTEMPT_ID);
+		String hops = head.header(Wire2.HOPS);
 		if (hops != null && !hops.equals(address + "=0-80")) {
 			record.line("turned away " + attempt + " at " + id + ": path " + hops);
 			String last = hops.substring(hops.lastIndexOf(',') + 1).split("=")[0];
-			out.write(Http2.bytes("HTTP/1.1 503 Service Unavailable\r\nWhinjunction-Attempt-Id: " + attempt
-					+ "\r\nWhinjunction-Not-Executed: 1\r\nAt-Server: " + last + "\r\nContent-Length: 0\r\n\r\n"));
+			out.write(Http2.bytes("HTTP/1.1 503 Service Unavailable\r\n" + Wire2.ATTEMPT_ID + ": " + attempt
+					+ "\r\n" + Wire2.NOT_EXECUTED + ": 1\r\n" + Wire2.AT_SERVER + ": " + last + "\r\nContent-Length: 0\r\n\r\n"));
 			out.flush();
 			return true;
 		}
 		record.line("run       " + attempt + " at " + id);
 		out.write(Http2.bytes(Server2.success(head,
 				"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n")));
-		String from = head.header("Last-Event-Id");
+		String from = head.header(Wire2.LAST_EVENT_ID);
 		for (int i = (from != null) ? Integer.parseInt(from) + 1 : 1; i <= EVENTS; i++) {
 			String event = "id: " + i + "\ndata: token\n\n";
 			out.write(Http2.bytes(Integer.toHexString(event.length()) + "\r\n" + event + "\r\n"));
@@ -139,8 +139,8 @@
 		try (Client2 client = new Client2(router.ip(), router.callers(), 3000)) {
 			client.send(stream
 					? Setup2.request("POST", "/draft/one", id, 20_000,
-							"Whinjunction-Model: m0\r\nWhinjunction-Token-Count: 760,80\r\n"
-									+ "Whinjunction-Prompt-Prefix: 5c1e07a2:40,91bd3f06:720\r\nContent-Length: 6\r\n")
+							Wire2.MODEL + ": m0\r\n" + Wire2.TOKEN_COUNT + ": 760,80\r\n"
+									+ Wire2.PROMPT_PREFIX + ": 5c1e07a2:40,91bd3f06:720\r\nContent-Length: 6\r\n")
 					: Setup2.request("GET", "/read/one", id, 1500, ""), Http2.bytes(stream ? "prompt" : ""));
 			Http2.Message answer = client.answer();
 			record.line("answered  " + id + " " + answer.status()
--- a/review/standins-2/Router2.java
+++ b/review/standins-2/Router2.java
@@ -105,7 +105,7 @@
 		ProcessBuilder builder = new ProcessBuilder(this.command.split(" "));
 		builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(this.log.toFile()));
 		builder.redirectInput(new File("/dev/null"));
-		builder.environment().put("WHINJUNCTION_SETTINGS", this.settings.toString());
+		builder.environment().put(Wire2.SETTINGS, this.settings.toString());
 		builder.environment().put("WHIN_METRICS_PORT", Integer.toString(this.metrics));
 		Process started = builder.start();
 		this.process = started;
@@ -132,7 +132,7 @@
 	/** Returns whether the process says that it is ready. */
 	boolean ready() {
 		try (Client2 client = new Client2(this.ip, this.ready, 1000)) {
-			client.send("GET /whinjunction/readyz HTTP/1.1\r\nHost: ready\r\n\r\n", new byte[0]);
+			client.send("GET " + Wire2.PATH + "readyz HTTP/1.1\r\nHost: ready\r\n\r\n", new byte[0]);
 			return client.answer().status() == 200;
 		}
 		catch (IOException ex) {
--- a/review/standins-2/Server2.java
+++ b/review/standins-2/Server2.java
@@ -68,9 +68,9 @@
 			BufferedInputStream in = new BufferedInputStream(socket.getInputStream());
 			OutputStream out = socket.getOutputStream();
 			for (Http2.Message head = Http2.head(in); head != null; head = Http2.head(in)) {
-				String expected = head.header("Whinjunction-Expect-Instance");
+				String expected = head.header(Wire2.EXPECT_INSTANCE);
 				if (expected != null && !expected.equals(this.id)) {
-					out.write(Http2.bytes("HTTP/1.1 421 Misdirected Request\r\nWhinjunction-Instance-Id: " + this.id
+					out.write(Http2.bytes("HTTP/1.1 421 Misdirected Request\r\n" + Wire2.INSTANCE_ID + ": " + this.id
 							+ "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"));
 					out.flush();
 					return;
@@ -90,9 +90,9 @@
 
 	/** Returns the head of a success. */
 	static String success(Http2.Message request, String framing) {
-		String id = request.header("Whinjunction-Attempt-Id");
-		return "HTTP/1.1 200 OK\r\n" + ((id != null) ? "Whinjunction-Attempt-Id: " + id + "\r\n" : "")
-				+ "Whinjunction-Server-Stamp: 1." + id + "\r\n" + framing + "\r\n";
+		String id = request.header(Wire2.ATTEMPT_ID);
+		return "HTTP/1.1 200 OK\r\n" + ((id != null) ? Wire2.ATTEMPT_ID + ": " + id + "\r\n" : "")
+				+ Wire2.SERVER_STAMP + ": 1." + id + "\r\n" + framing + "\r\n";
 	}
 
 	@Override
--- a/review/standins-2/Setup2.java
+++ b/review/standins-2/Setup2.java
@@ -105,8 +105,8 @@
 
 	/** Returns the head of a request. */
 	static String request(String method, String path, String id, long deadlineMs, String more) {
-		return method + " " + path + " HTTP/1.1\r\nHost: " + HOST + "\r\nWhinjunction-Attempt-Id: " + id
-				+ "\r\nWhinjunction-Deadline-Ms: " + deadlineMs + "\r\nAuthorization: Token key-one\r\n" + more
+		return method + " " + path + " HTTP/1.1\r\nHost: " + HOST + "\r\n" + Wire2.ATTEMPT_ID + ": " + id
+				+ "\r\n" + Wire2.DEADLINE_MS + ": " + deadlineMs + "\r\nAuthorization: Token key-one\r\n" + more
 				+ "\r\n";
 	}
 
@@ -117,7 +117,7 @@
 		if (length != null) {
 			in.readNBytes(Integer.parseInt(length));
 		}
-		record.line("run       " + head.header("Whinjunction-Attempt-Id") + " at " + server);
+		record.line("run       " + head.header(Wire2.ATTEMPT_ID) + " at " + server);
 		byte[] body = Http2.bytes("done by " + server);
 		out.write(Http2.bytes(Server2.success(head, "Content-Length: " + body.length + "\r\n")));
 		out.write(body);
--- a/review/standins-2/Store2.java
+++ b/review/standins-2/Store2.java
@@ -18,7 +18,7 @@
  */
 final class Store2 implements AutoCloseable {
 
-	private static final String PREFIX = "/whinjunction/objects/";
+	private static final String PREFIX = Wire2.PATH + "objects/";
 
 	private static final int PAGE_ITEMS = 500;
 
