An entry of another writer no longer takes a router's memory

Cause: a page of the list, or all changes of an answer to a watch, became one tree before any entry was looked at, with a parser whose limits were the size of a value. The limits kept an odd entry from making its page unreadable, but bounded no memory.

Why this works: the bounds of each entry are found in constant memory (JsonSlice), and each is parsed on its own, with the parser's own limits and a bound on its parts. What can't be read is missing and concerns its entry alone, which stays the safeguard of the raised limits. All kinds that routers read are read so. Lists of the routers' own kinds are read to their last page: other objects could fill the first one.

--- a/whinjunction-core/src/main/java/io/whinjunction/configuration/Json.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/configuration/Json.java
@@ -14,15 +14,27 @@
 	public static final int MAX_DEPTH = 32;
 
 	/** The mapper. */
-	public static final JsonMapper MAPPER = JsonMapper
-		.builder(JsonFactory.builder()
-			.streamReadConstraints(StreamReadConstraints.builder().maxNestingDepth(MAX_DEPTH).build())
-			.build())
-		.build();
+	public static final JsonMapper MAPPER = limited(StreamReadConstraints.builder());
 
 	private Json() {
 	}
 
+	/**
+	 * Creates a mapper that also limits what a value takes in memory: by its number of
+	 * parts.
+	 * @param maxTokens the maximum number of brackets, names and plain values
+	 * @return a new mapper
+	 */
+	public static JsonMapper ofTokens(long maxTokens) {
+		return limited(StreamReadConstraints.builder().maxTokenCount(maxTokens));
+	}
+
+	private static JsonMapper limited(StreamReadConstraints.Builder limits) {
+		return JsonMapper
+			.builder(JsonFactory.builder().streamReadConstraints(limits.maxNestingDepth(MAX_DEPTH).build()).build())
+			.build();
+	}
+
 	/**
 	 * Creates an empty object.
 	 * @return a new node
--- /dev/null
+++ b/whinjunction-core/src/main/java/io/whinjunction/json/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Reads parts of JSON texts that others wrote, in bounded memory.
+ */
+package io.whinjunction.json;
--- a/whinjunction-router/src/main/java/io/whinjunction/router/StoreEra.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/StoreEra.java
@@ -37,6 +37,26 @@
 	/** The latest era reported by anyone, which has been announced to the listeners. */
 	private long announced;
 
+	/**
+	 * Parses the era that a reply of the store names.
+	 * @param value the text, or {@code null}
+	 * @return the era, or {@link #UNSPECIFIED}
+	 */
+	public static long parse(String value) {
+		if (value == null) {
+			return UNSPECIFIED;
+		}
+		try {
+			return Math.max(UNSPECIFIED, Long.parseLong(value.trim()));
+		}
+		catch (NumberFormatException ex) {
+			logger.atWarning()
+				.atMostEvery(IGNORED_LOG_INTERVAL_S, TimeUnit.SECONDS)
+				.log("event=era-unreadable value=\"%s\"", value);
+			return UNSPECIFIED;
+		}
+	}
+
 	/**
 	 * Returns the era of the newest reply.
 	 * @return the era; 0 if the store has never named one
--- a/whinjunction-router/src/main/java/io/whinjunction/router/StoreReply.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/StoreReply.java
@@ -1,5 +1,7 @@
 package io.whinjunction.router;
 
+import java.util.function.Function;
+
 /**
  * Outcome of a call to the platform's store. Immutable.
  *
@@ -7,6 +9,21 @@
  */
 public sealed interface StoreReply<T> {
 
+	/**
+	 * Converts the result, if there is one.
+	 * @param conversion converts it
+	 * @param <R> the type of the converted result
+	 * @return the converted result, or the same outcome without a result
+	 */
+	default <R> StoreReply<R> map(Function<T, R> conversion) {
+		return switch (this) {
+			case Found<T> found -> new Found<>(conversion.apply(found.value()));
+			case Absent<T> ignored -> new Absent<>();
+			case Outdated<T> ignored -> new Outdated<>();
+			case Unavailable<T> unavailable -> new Unavailable<>(unavailable.reason());
+		};
+	}
+
 	/**
 	 * The store replied.
 	 *
@@ -25,8 +42,8 @@
 	}
 
 	/**
-	 * A condition was not met, or the requested history has been discarded; the caller
-	 * has to read again.
+	 * A condition was not met, or the requested history has been discarded or is longer
+	 * than what is read of it; the caller has to read again.
 	 *
 	 * @param <T> the type of the result
 	 */
