--- a/whinjunction-core/src/main/java/io/whinjunction/http/CallResult.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/http/CallResult.java
@@ -69,8 +69,20 @@
 	 *
 	 * @param reason the reason, for the log
 	 * @param silent whether the call timed out
+	 * @param tooLong whether the response was longer than the call allows, and was cut
+	 * off
 	 */
-	record Lost(String reason, boolean silent) implements CallResult {
+	record Lost(String reason, boolean silent, boolean tooLong) implements CallResult {
+
+		/**
+		 * Creates the result of a call whose response was not cut off.
+		 * @param reason the reason, for the log
+		 * @param silent whether the call timed out
+		 */
+		public Lost(String reason, boolean silent) {
+			this(reason, silent, false);
+		}
+
 	}
 
 }
--- a/whinjunction-core/src/main/java/io/whinjunction/http/LibraryCalls.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/http/LibraryCalls.java
@@ -84,7 +84,7 @@
 
 		private final long maxBodyBytes;
 
-		private long bodyBytes;
+		private volatile long bodyBytes;
 
 		private final AtomicReference<Fate> state = new AtomicReference<>(Fate.PENDING);
 
@@ -102,12 +102,16 @@
 		@Override
 		public State onBodyPartReceived(HttpResponseBodyPart part) throws Exception {
 			this.bodyBytes += part.length();
-			if (this.bodyBytes > this.maxBodyBytes) {
+			if (tooLong()) {
 				throw new IOException("a response of more than " + this.maxBodyBytes + " bytes");
 			}
 			return super.onBodyPartReceived(part);
 		}
 
+		private boolean tooLong() {
+			return this.bodyBytes > this.maxBodyBytes;
+		}
+
 		boolean written() {
 			return this.state.get() == Fate.WRITTEN;
 		}
@@ -139,7 +143,7 @@
 		 */
 		CallResult lost(String reason, boolean silent) {
 			this.state.compareAndSet(Fate.PENDING, Fate.ABANDONED);
-			return written() ? new CallResult.Lost(reason, silent) : new CallResult.NotSent(reason);
+			return written() ? new CallResult.Lost(reason, silent, tooLong()) : new CallResult.NotSent(reason);
 		}
 
 		private enum Fate {
