One answer to which upstreams are engines of a model

An entry of the service without a kind: every stream hung until its deadline.

Cause: each place answered for itself whether an upstream is an engine of the model. PathFinder took the ends of all candidates' layers as bounds and began at the last of them; only the planner's caller left such engines out. The choice of a path looked up a missing kind in a map that refuses null, and the task of the event loop ended with a NullPointerException.

Why this works: UpstreamDirectory.active is the only answer, by the model's kinds and layers, and choice, admission, refusals, reachability, surveys and plans ask it. PathFinder, LayerPlanner and LayerRoom leave other engines out by themselves too, and a path ends at the model's last layer, not at the last bound.

--- a/whinjunction-core/src/main/java/io/whinjunction/chain/LayerPlanner.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/chain/LayerPlanner.java
@@ -77,7 +77,7 @@
 	 */
 	public static List<Placement> plan(ModelProfile profile, List<Engine> engines, ReplicaCountCache wanted) {
 		Map<String, List<Engine>> byDomain = engines.stream()
-			.filter((engine) -> !engine.leaving())
+			.filter((engine) -> !engine.leaving() && profile.contains(engine.held()))
 			.collect(Collectors.groupingBy(Engine::failureDomain, TreeMap::new, Collectors.toList()));
 		List<Placement> placements = new ArrayList<>();
 		for (List<Engine> ofDomain : byDomain.values()) {
@@ -109,8 +109,8 @@
 			return new FleetPlan(List.of(), List.of(), Set.of());
 		}
 		List<ReportedEngine> usable = fleet.stream()
-			.filter((state) -> !state.engine().leaving() && holdsOnly(profile, state.engine().held())
-					&& holdsOnly(profile, state.reported()))
+			.filter((state) -> !state.engine().leaving() && profile.contains(state.engine().held())
+					&& profile.contains(state.reported()))
 			.toList();
 		Map<String, List<Engine>> byDomain = usable.stream()
 			.map(ReportedEngine::engine)
@@ -140,10 +140,6 @@
 		return new FleetPlan(repairs, moves, divisions.keySet());
 	}
 
-	private static boolean holdsOnly(ModelProfile profile, LayerRange held) {
-		return held == null || held.end() <= profile.layers();
-	}
-
 	private static boolean anySingleHolder(ModelProfile profile, List<ReportedEngine> fleet) {
 		int[] changes = new int[profile.layers() + 1];
 		for (ReportedEngine state : fleet) {
@@ -210,7 +206,7 @@
 	public static List<Placement> relieve(ModelProfile profile, List<Engine> engines,
 			ToDoubleFunction<Engine> usedRatio) {
 		Map<String, List<Engine>> byDomain = engines.stream()
-			.filter((engine) -> !engine.leaving())
+			.filter((engine) -> !engine.leaving() && profile.contains(engine.held()))
 			.collect(Collectors.groupingBy(Engine::failureDomain, TreeMap::new, Collectors.toList()));
 		List<Placement> placements = new ArrayList<>();
 		byDomain.values()
--- a/whinjunction-core/src/main/java/io/whinjunction/chain/LayerRoom.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/chain/LayerRoom.java
@@ -29,13 +29,14 @@
 	/**
 	 * Adds up the room of engines.
 	 * @param profile the model
-	 * @param engines the engines with their load; those without layers are skipped
+	 * @param engines the engines with their load; those without layers, or with layers
+	 * that the model does not have, are skipped
 	 * @return the room by layer
 	 */
 	public static LayerRoom of(ModelProfile profile, Collection<Holder> engines) {
 		LayerRoom room = new LayerRoom(profile.layers());
 		for (Holder holder : engines) {
-			if (holder.engine().held() != null) {
+			if (holder.engine().held() != null && profile.contains(holder.engine().held())) {
 				room.add(profile, holder);
 			}
 		}
@@ -46,8 +47,7 @@
 		Engine engine = holder.engine();
 		double capacity = profile.kvCapacityTokens(engine.kind(), engine.heldLayers());
 		double used = Math.clamp(holder.usedRatio(), 0, 1) * capacity;
-		int end = Math.min(engine.held().end(), this.holders.length);
-		for (int layer = Math.max(0, engine.held().first()); layer < end; layer++) {
+		for (int layer = engine.held().first(); layer < engine.held().end(); layer++) {
 			this.holders[layer]++;
 			this.capacityTokens[layer] += capacity;
 			this.usedTokens[layer] += used;
--- a/whinjunction-core/src/main/java/io/whinjunction/chain/ModelProfile.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/chain/ModelProfile.java
@@ -2,6 +2,8 @@
 
 import java.util.Map;
 
+import io.whinjunction.configuration.LayerRange;
+
 /**
  * Performance figures of a model on engines, as published by the operators. Immutable.
  *
@@ -38,6 +40,27 @@
 		kinds = Map.copyOf(kinds);
 	}
 
+	/**
+	 * Returns whether layers are layers of this model.
+	 * @param held the layers, or {@code null} for none
+	 * @return {@code false} if the model ends before them
+	 */
+	public boolean contains(LayerRange held) {
+		return held == null || held.end() <= this.layers;
+	}
+
+	/**
+	 * Returns the kind of an upstream that is an engine of this model, whether it holds
+	 * layers or is empty.
+	 * @param name the name of its kind of accelerator, or {@code null}
+	 * @param held the layers it holds, or {@code null}
+	 * @return the kind; {@code null} if the upstream is no engine of this model: the
+	 * model has no such kind, or not these layers
+	 */
+	public EngineKind engineKind(String name, LayerRange held) {
+		return (name != null && contains(held)) ? this.kinds.get(name) : null;
+	}
+
 	/**
 	 * Returns the mean size of a request.
 	 * @return prompt and answer, in tokens
--- a/whinjunction-core/src/main/java/io/whinjunction/chain/PathFinder.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/chain/PathFinder.java
@@ -55,7 +55,8 @@
 	/**
 	 * Finds the cheapest path.
 	 * @param profile the model
-	 * @param engines the usable engines with their costs
+	 * @param engines the usable engines with their costs; those with layers that the
+	 * model does not have are left out
 	 * @param start the start of the path
 	 * @return the hops in order, or empty if no path covers all layers
 	 */
@@ -150,6 +151,9 @@
 
 		private final int[] bounds;
 
+		/** The bound at which the model ends. */
+		private final int lastBound;
+
 		private final Map<String, Integer> domains = new LinkedHashMap<>();
 
 		private final List<List<Candidate>> startingAt = new ArrayList<>();
@@ -170,24 +174,24 @@
 
 		Search(ModelProfile profile, Collection<Candidate> engines, Start start, Set<String> excluded) {
 			this.start = start;
-			TreeSet<Integer> bounds = new TreeSet<>(Set.of(start.layer(), profile.layers()));
+			List<Candidate> usable = engines.stream()
+				.filter((candidate) -> profile.contains(candidate.engine().held())
+						&& !excluded.contains(candidate.engine().id()))
+				.toList();
+			// A set of two equal layers would be refused.
+			TreeSet<Integer> bounds = new TreeSet<>(List.of(start.layer(), profile.layers()));
 			this.domains.put(start.failureDomain(), HOME);
-			for (Candidate candidate : engines) {
-				if (!excluded.contains(candidate.engine().id())) {
-					bounds.add(candidate.engine().held().first());
-					bounds.add(candidate.engine().held().end());
-					this.domains.putIfAbsent(candidate.engine().failureDomain(), this.domains.size());
-				}
+			for (Candidate candidate : usable) {
+				bounds.add(candidate.engine().held().first());
+				bounds.add(candidate.engine().held().end());
+				this.domains.putIfAbsent(candidate.engine().failureDomain(), this.domains.size());
 			}
 			this.bounds = bounds.stream().mapToInt(Integer::intValue).toArray();
+			this.lastBound = Arrays.binarySearch(this.bounds, profile.layers());
 			for (int index = 0; index < this.bounds.length; index++) {
 				this.startingAt.add(new ArrayList<>());
 			}
-			for (Candidate candidate : engines) {
-				if (!excluded.contains(candidate.engine().id())) {
-					addToBounds(candidate);
-				}
-			}
+			usable.forEach(this::addToBounds);
 			this.costs = new double[this.bounds.length * this.domains.size()];
 			this.steps = new Step[this.costs.length];
 			this.entryCosts = new double[this.domains.size()];
@@ -200,7 +204,7 @@
 
 		List<Hop> run() {
 			int first = firstBound();
-			for (int from = first; from + 1 < this.bounds.length; from++) {
+			for (int from = first; from < this.lastBound; from++) {
 				enter(from);
 				for (Candidate candidate : this.startingAt.get(from)) {
 					if (from > first || this.start.mayStart().test(candidate.engine())) {
@@ -259,7 +263,7 @@
 		}
 
 		private List<Hop> backtrack() {
-			int at = this.bounds.length - 1;
+			int at = this.lastBound;
 			int domain = -1;
 			double best = Double.POSITIVE_INFINITY;
 			for (int other = 0; other < this.domains.size(); other++) {
--- a/whinjunction-core/src/main/java/io/whinjunction/routing/RoutedService.java
+++ b/whinjunction-core/src/main/java/io/whinjunction/routing/RoutedService.java
@@ -1,6 +1,7 @@
 package io.whinjunction.routing;
 
 import io.whinjunction.chain.ModelProfile;
+import io.whinjunction.configuration.LayerRange;
 
 /**
  * A service that requests are routed to. Immutable.
@@ -21,4 +22,15 @@
 		return this.model != null;
 	}
 
+	/**
+	 * Returns whether an upstream that is listed for this service can serve it.
+	 * @param kind the name of its kind of accelerator, or {@code null}
+	 * @param held the layers it holds, or {@code null}
+	 * @return {@code false} if the service has a model and the upstream is no engine of
+	 * it
+	 */
+	public boolean canUse(String kind, LayerRange held) {
+		return !chained() || this.model.engineKind(kind, held) != null;
+	}
+
 }
--- a/whinjunction-core/src/test/java/io/whinjunction/chain/LayerPlannerTests.java
+++ b/whinjunction-core/src/test/java/io/whinjunction/chain/LayerPlannerTests.java
@@ -166,6 +166,21 @@
 		}
 	}
 
+	// Guards against orders that count on an engine with layers that the model does not
+	// have.
+	@Property(tries = 60)
+	void anEngineWithOtherLayersThanTheModelsChangesNoPlan(@ForAll @IntRange(min = 0, max = 13) int lost,
+			@ForAll @IntRange(min = 0, max = 150) int first, @ForAll @IntRange(min = 81, max = 200) int end) {
+		List<Engine> engines = remove(plan(MixedCards.emptyDomain("a")), lost);
+		List<Engine> withOther = new ArrayList<>(engines);
+		withOther.add(MixedCards.holding("other", "a", MixedCards.A100, first, Math.max(first + 1, end)));
+
+		assertThat(LayerPlanner.plan(MixedCards.PROFILE, withOther))
+			.isEqualTo(LayerPlanner.plan(MixedCards.PROFILE, engines));
+		assertThat(LayerPlanner.relieve(MixedCards.PROFILE, withOther, (engine) -> 0.7))
+			.isEqualTo(LayerPlanner.relieve(MixedCards.PROFILE, engines, (engine) -> 0.7));
+	}
+
 	private static List<Engine> remove(List<Engine> engines, int index) {
 		List<Engine> left = new ArrayList<>(engines);
 		left.remove(index % left.size());
--- a/whinjunction-core/src/test/java/io/whinjunction/chain/PathFinderTests.java
+++ b/whinjunction-core/src/test/java/io/whinjunction/chain/PathFinderTests.java
@@ -95,16 +95,7 @@
 
 	@Property(tries = 300)
 	void eachLayerRunsOnceInOrderAndNoEngineOccursTwice(@ForAll long seed) {
-		Random random = new Random(seed);
-		List<PathFinder.Candidate> engines = new ArrayList<>();
-		for (int index = 0; index < 40; index++) {
-			int first = random.nextInt(79);
-			int end = first + 1 + random.nextInt(Math.min(30, 80 - first));
-			Engine engine = MixedCards.holding("e" + index, "d" + index % 3, MixedCards.V100, first, end);
-			engines.add(new PathFinder.Candidate(engine, random.nextDouble(), random.nextInt(5)));
-		}
-
-		find(engines, "d0").ifPresent((path) -> {
+		find(randomEngines(new Random(seed)), "d0").ifPresent((path) -> {
 			int next = 0;
 			Set<String> seen = new HashSet<>();
 			for (Hop hop : path) {
@@ -119,6 +110,34 @@
 		});
 	}
 
+	// Guards against an engine of a larger model that makes all requests be refused, as
+	// paths had to reach its last layer.
+	@Property(tries = 300)
+	void anEngineWithOtherLayersThanTheModelsChangesNoPath(@ForAll long seed) {
+		Random random = new Random(seed);
+		List<PathFinder.Candidate> engines = randomEngines(random);
+		Optional<List<Hop>> path = find(engines, "d0");
+		for (int index = 0; index < 3; index++) {
+			int first = random.nextInt(200);
+			int end = Math.max(first, 80) + 1 + random.nextInt(100);
+			Engine engine = MixedCards.holding("other" + index, "d" + random.nextInt(5), MixedCards.A100, first, end);
+			engines.add(new PathFinder.Candidate(engine, 0, 0));
+		}
+
+		assertThat(find(engines, "d0")).isEqualTo(path);
+	}
+
+	private static List<PathFinder.Candidate> randomEngines(Random random) {
+		List<PathFinder.Candidate> engines = new ArrayList<>();
+		for (int index = 0; index < 40; index++) {
+			int first = random.nextInt(79);
+			int end = first + 1 + random.nextInt(Math.min(30, 80 - first));
+			Engine engine = MixedCards.holding("e" + index, "d" + index % 3, MixedCards.V100, first, end);
+			engines.add(new PathFinder.Candidate(engine, random.nextDouble(), random.nextInt(5)));
+		}
+		return engines;
+	}
+
 	private static Optional<List<Hop>> find(List<PathFinder.Candidate> engines, String home) {
 		return PathFinder.find(PROFILE, engines, PathFinder.Start.full(home, (engine) -> true));
 	}
--- a/whinjunction-router/src/main/java/io/whinjunction/router/LayerReconciler.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/LayerReconciler.java
@@ -131,7 +131,7 @@
 		}
 		for (RoutedService service : configuration.services()) {
 			if (service.chained() && judges(service)) {
-				this.router.directory().active(service.name()).forEach((state) -> survey(state.upstream()));
+				this.router.directory().active(service).forEach((state) -> survey(state.upstream()));
 			}
 		}
 	}
@@ -191,9 +191,10 @@
 		ModelProfile profile = service.model();
 		removeCompleted(profile);
 		List<ReportedEngine> fleet = new ArrayList<>();
-		for (UpstreamState upstream : this.router.directory().active(service.name())) {
-			EngineKind kind = kind(profile, upstream.upstream());
-			if (kind != null && !this.router.engineMonitor().lost(upstream.incarnation())
+		logUnsuitable(service);
+		for (UpstreamState upstream : this.router.directory().active(service)) {
+			EngineKind kind = profile.kinds().get(upstream.upstream().kind());
+			if (!this.router.engineMonitor().lost(upstream.incarnation())
 					&& (upstream.upstream().held() != null || acceptsOrders(upstream.incarnation()))) {
 				fleet.add(new ReportedEngine(engine(upstream.upstream(), kind), upstream.upstream().held()));
 			}
@@ -224,18 +225,16 @@
 			.collect(Collectors.toSet());
 	}
 
-	// Engines of an unknown kind, or with layers that the model does not have, cannot be
-	// planned for.
-	private static EngineKind kind(ModelProfile profile, Upstream upstream) {
-		EngineKind kind = (upstream.kind() != null) ? profile.kinds().get(upstream.kind()) : null;
-		boolean usable = kind != null && (upstream.held() == null || upstream.held().end() <= profile.layers());
-		if (!usable) {
-			logger.atWarning()
-				.atMostEvery(10, TimeUnit.SECONDS)
-				.log("event=engine-not-planned engine=%s kind=%s layers=%s", upstream.incarnation(), upstream.kind(),
-						upstream.held());
+	private void logUnsuitable(RoutedService service) {
+		for (UpstreamState state : this.router.directory().listed(service.name())) {
+			Upstream upstream = state.upstream();
+			if (!service.canUse(upstream.kind(), upstream.held())) {
+				logger.atWarning()
+					.atMostEvery(10, TimeUnit.SECONDS)
+					.log("event=engine-not-planned engine=%s kind=%s layers=%s", upstream.incarnation(),
+							upstream.kind(), upstream.held());
+			}
 		}
-		return usable ? kind : null;
 	}
 
 	private void relieve(ModelProfile profile, List<Engine> state) {
--- a/whinjunction-router/src/main/java/io/whinjunction/router/ReachabilityMonitor.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/ReachabilityMonitor.java
@@ -14,6 +14,7 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import io.whinjunction.reachability.Reachability;
 import io.whinjunction.reachability.ServiceReachability;
+import io.whinjunction.routing.RoutedService;
 import io.whinjunction.routing.RoutingConfiguration;
 
 /**
@@ -271,7 +272,7 @@
 		for (Map.Entry<String, ServiceReachability> other : this.services.entrySet()) {
 			elsewhere += other.getKey().equals(name) ? 0 : other.getValue().evidence().size();
 		}
-		Reachability now = service.judge(this.router.directory().active(name).size(), elsewhere, this.router.nowMs());
+		Reachability now = service.judge(upstreams(name).size(), elsewhere, this.router.nowMs());
 		if (now == before) {
 			return;
 		}
@@ -330,10 +331,17 @@
 		}
 	}
 
+	private Collection<UpstreamState> upstreams(String name) {
+		RoutingConfiguration configuration = this.router.configuration();
+		RoutedService service = (configuration != null) ? configuration.service(name) : null;
+		UpstreamDirectory directory = this.router.directory();
+		return (service != null) ? directory.active(service) : directory.listed(name);
+	}
+
 	// Any other upstream shows whether the paths work, also one at which no request
 	// starts; those that failed are tried to find out when they work again.
 	private List<Upstream> candidates(String name) {
-		Collection<UpstreamState> active = this.router.directory().active(name);
+		Collection<UpstreamState> active = upstreams(name);
 		Set<String> unconnected = service(name).unconnected();
 		List<Upstream> others = new ArrayList<>();
 		List<Upstream> failed = new ArrayList<>();
--- a/whinjunction-router/src/main/java/io/whinjunction/router/RequestAdmission.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/RequestAdmission.java
@@ -208,10 +208,10 @@
 	private double usedRatio(RoutedService service, long nowMs) {
 		ModelProfile profile = service.model();
 		List<LayerRoom.Holder> holders = new ArrayList<>();
-		for (UpstreamState state : this.router.directory().active(service.name())) {
+		for (UpstreamState state : this.router.directory().active(service)) {
 			Upstream upstream = state.upstream();
 			EngineKind kind = profile.kinds().get(upstream.kind());
-			if (upstream.held() != null && kind != null) {
+			if (upstream.held() != null) {
 				Engine engine = new Engine(state.incarnation(), upstream.address(), upstream.failureDomain(), kind,
 						upstream.held(), false);
 				holders.add(new LayerRoom.Holder(engine, this.router.chooser().usedRatio(profile, kind, state, nowMs)));
--- a/whinjunction-router/src/main/java/io/whinjunction/router/TargetChooser.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/TargetChooser.java
@@ -92,7 +92,7 @@
 			.thenComparingInt(UpstreamState::requests)
 			.thenComparing((state) -> !state.upstream().failureDomain().equals(this.failureDomain))
 			.thenComparing((state) -> state.incarnation());
-		return this.directory.active(criteria.service().name())
+		return this.directory.active(criteria.service())
 			.stream()
 			.filter((state) -> !tried.contains(state.incarnation()) && mayStartAt(state.incarnation()))
 			.min(order)
@@ -133,9 +133,9 @@
 		// all go to the same engine after a loss and be read one after the other.
 		int routers = 1 + this.peers.activeCount(nowMs);
 		List<PathFinder.Candidate> candidates = new ArrayList<>();
-		for (UpstreamState state : this.directory.active(criteria.service().name())) {
+		for (UpstreamState state : this.directory.active(criteria.service())) {
 			EngineKind kind = profile.kinds().get(state.upstream().kind());
-			if (state.upstream().held() == null || kind == null || criteria.tried().contains(state.incarnation())) {
+			if (state.upstream().held() == null || criteria.tried().contains(state.incarnation())) {
 				continue;
 			}
 			double usedRatio = usedRatio(profile, kind, state, nowMs);
@@ -156,7 +156,7 @@
 	 * @return the counts
 	 */
 	Unusable unusable(Criteria criteria, long nowMs) {
-		Collection<UpstreamState> active = this.directory.active(criteria.service().name());
+		Collection<UpstreamState> active = this.directory.active(criteria.service());
 		int failed = 0;
 		int full = 0;
 		int mayNotStart = 0;
@@ -171,9 +171,11 @@
 
 	private boolean full(RoutedService service, UpstreamState state, long nowMs) {
 		LayerRange held = state.upstream().held();
-		EngineKind kind = service.chained() ? service.model().kinds().get(state.upstream().kind()) : null;
-		return held != null && kind != null
-				&& full(service.model(), kind, held, usedRatio(service.model(), kind, state, nowMs));
+		if (!service.chained() || held == null) {
+			return false;
+		}
+		EngineKind kind = service.model().kinds().get(state.upstream().kind());
+		return full(service.model(), kind, held, usedRatio(service.model(), kind, state, nowMs));
 	}
 
 	private boolean mayStartAt(String upstream) {
@@ -192,7 +194,7 @@
 	 * @return milliseconds from now; 0 if backoffs prevent no attempt
 	 */
 	long backoffMs(RoutedService service) {
-		List<UpstreamState> starts = new ArrayList<>(this.directory.active(service.name()));
+		List<UpstreamState> starts = new ArrayList<>(this.directory.active(service));
 		if (service.chained()) {
 			starts.removeIf((state) -> state.upstream().held() == null || state.upstream().held().first() > 0);
 		}
--- a/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamDirectory.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamDirectory.java
@@ -13,6 +13,7 @@
 import java.util.function.Consumer;
 
 import com.google.common.flogger.FluentLogger;
+import io.whinjunction.routing.RoutedService;
 import io.whinjunction.store.StoreVersion;
 
 /**
@@ -304,20 +305,35 @@
 	}
 
 	/**
-	 * Returns the upstreams of a service that are not leaving.
+	 * Returns the upstreams that can serve a service and are not leaving.
 	 * @param service the service
-	 * @return their states
+	 * @return their states; without those that are listed for the service but are no
+	 * engines of its model
 	 */
-	Collection<UpstreamState> active(String service) {
+	Collection<UpstreamState> active(RoutedService service) {
 		List<UpstreamState> active = new ArrayList<>();
 		for (UpstreamState state : this.byId.values()) {
-			if (state.upstream().service().equals(service) && !state.leaving()) {
+			if (listedFor(service.name(), state) && service.canUse(state.upstream().kind(), state.upstream().held())) {
 				active.add(state);
 			}
 		}
 		return active;
 	}
 
+	/**
+	 * Returns the upstreams that are listed for a service and are not leaving, whether or
+	 * not they can serve it. Decisions are made by {@link #active}.
+	 * @param service the name of the service
+	 * @return their states
+	 */
+	Collection<UpstreamState> listed(String service) {
+		return this.byId.values().stream().filter((state) -> listedFor(service, state)).toList();
+	}
+
+	private static boolean listedFor(String service, UpstreamState state) {
+		return state.upstream().service().equals(service) && !state.leaving();
+	}
+
 	/**
 	 * Returns how much engine memory the requests of this process occupy, for the engines
 	 * with the most.
--- a/whinjunction-router/src/test/java/io/whinjunction/router/UpstreamDirectoryTests.java
+++ b/whinjunction-router/src/test/java/io/whinjunction/router/UpstreamDirectoryTests.java
@@ -4,6 +4,7 @@
 import java.util.List;
 
 import io.whinjunction.configuration.LayerRange;
+import io.whinjunction.routing.RoutedService;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -34,7 +35,7 @@
 		this.directory
 			.apply(new UpstreamChanges(Versions.v(1), List.of(upstream("1", "a:1", true)), List.of(), Versions.v(3)));
 
-		assertThat(this.directory.active("s")).isEmpty();
+		assertThat(this.directory.active(new RoutedService("s", "", 0, null))).isEmpty();
 		assertThat(this.left).containsExactly("1");
 	}
 
