What callers do not take of a long answer is charged, whatever its pieces

Once some 800 answers have begun, no ordinary request is answered, and no readiness check.

Cause: an answer that is passed on as it arrives is written in pieces of 16 KB at most, and only pieces of more than 32 KB were charged to what callers hold. 64 KB for each connection, up to which it counts as writable, were charged to nobody, and nobody was shed. Beyond the direct memory the virtual machine waits half a second before each allocation fails, on the event loop.

Why this works: UntakenAnswers charges what is left in the channel after each flush, until it is written or the connection is closed, and such a connection may be closed when callers hold too much.

--- a/whinjunction-router/src/main/java/io/whinjunction/router/BufferedAnswers.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/BufferedAnswers.java
@@ -1,6 +1,5 @@
 package io.whinjunction.router;
 
-import io.netty.channel.ChannelFuture;
 import io.whinjunction.memory.MemoryBudget;
 import io.whinjunction.memory.MemoryShare;
 
@@ -70,17 +69,4 @@
 		add(share, -count);
 	}
 
-	/**
-	 * Counts bytes until they are written.
-	 * @param share the share of their caller
-	 * @param count the bytes
-	 * @param writing completes when they are written, or never will be
-	 */
-	void addUntil(MemoryShare share, long count, ChannelFuture writing) {
-		if (count > 0 && !writing.isDone()) {
-			add(share, count);
-			writing.addListener((written) -> remove(share, count));
-		}
-	}
-
 }
--- a/whinjunction-router/src/main/java/io/whinjunction/router/CallerConnection.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/CallerConnection.java
@@ -14,7 +14,6 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -52,12 +51,6 @@
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-	/** Larger chunks count as buffered until they are written; others pass at once. */
-	private static final int LARGE_CHUNK_BYTES = 32_768;
-
-	/** What an answer takes beside its body until it is written, in bytes. */
-	private static final int ANSWER_HEAD_BYTES = 512;
-
 	private static final int LOG_INTERVAL_S = 1;
 
 	private final RouterContext router;
@@ -92,6 +85,8 @@
 
 	private boolean closing;
 
+	private UntakenAnswers untaken;
+
 	private long answeredAtMs;
 
 	/**
@@ -109,6 +104,7 @@
 	@Override
 	public void channelActive(ChannelHandlerContext context) {
 		this.channel = context.channel();
+		this.untaken = new UntakenAnswers(this.channel, this.router.bufferedAnswers(), share());
 		this.encoder = context.pipeline().context(HttpResponseEncoder.class);
 		this.answeredAtMs = this.router.nowMs();
 		this.router.callers().add(this);
@@ -147,7 +143,7 @@
 		if (this.session != null && this.session.unpassedBytes() > MemoryBudget.SMALL_BYTES) {
 			return MemoryBudget.Holder.State.UNPASSED;
 		}
-		if (!writable() || this.answered && unwrittenBytes() > 0) {
+		if (this.untaken.chargedBytes() > 0) {
 			return MemoryBudget.Holder.State.UNTAKEN;
 		}
 		return this.answered ? MemoryBudget.Holder.State.UNSENT : MemoryBudget.Holder.State.SENT;
@@ -299,6 +295,9 @@
 
 	@Override
 	public void channelWritabilityChanged(ChannelHandlerContext context) {
+		if (writable()) {
+			this.untaken.update();
+		}
 		if (this.session != null) {
 			this.session.onCallerWritable(writable());
 		}
@@ -307,6 +306,7 @@
 	@Override
 	public void channelInactive(ChannelHandlerContext context) {
 		this.router.callers().remove(this);
+		this.untaken.update();
 		ForwardSession gone = this.session;
 		this.session = null;
 		if (gone != null) {
@@ -336,8 +336,7 @@
 		if (!this.headRequest || !response.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
 			response.headers().set(HttpHeaderNames.CONTENT_LENGTH, answer.body().readableBytes());
 		}
-		int bytes = ANSWER_HEAD_BYTES + response.content().readableBytes();
-		this.router.bufferedAnswers().addUntil(share(), bytes, finish(response, response.headers()));
+		finish(response, response.headers());
 	}
 
 	/**
@@ -358,7 +357,7 @@
 		setConnectionHeader(response.headers());
 		// The encoder knows which status allows no body.
 		this.framesChunks = this.knowsChunks && HttpResponseStatus.OK.equals(status);
-		this.channel.write(response);
+		this.untaken.wrote(this.channel.write(response));
 	}
 
 	/**
@@ -367,16 +366,13 @@
 	 */
 	void writeBody(ByteBuf content) {
 		if (!this.framesChunks) {
-			this.channel.write(new DefaultHttpContent(content));
+			this.untaken.wrote(this.channel.write(new DefaultHttpContent(content)));
+
 			return;
 		}
 		try {
 			if (content.isReadable()) {
-				int bytes = content.readableBytes();
-				ChannelFuture writing = this.encoder.write(ChunkWriter.chunk(this.encoder.alloc(), content));
-				if (bytes > LARGE_CHUNK_BYTES) {
-					this.router.bufferedAnswers().addUntil(share(), bytes, writing);
-				}
+				this.untaken.wrote(this.encoder.write(ChunkWriter.chunk(this.encoder.alloc(), content)));
 			}
 		}
 		finally {
@@ -386,6 +382,7 @@
 
 	void flush() {
 		this.encoder.flush();
+		this.untaken.flushed();
 	}
 
 	/** Completes an answer that is sent in pieces. */
@@ -453,15 +450,10 @@
 	 * @return whether an answer was cut
 	 */
 	boolean onRouterExit() {
-		boolean undelivered = unwrittenBytes() > 0;
+		boolean undelivered = this.untaken.unwrittenBytes() > 0;
 		return (this.session != null) ? this.session.onRouterExit() : undelivered;
 	}
 
-	private long unwrittenBytes() {
-		ChannelOutboundBuffer unwritten = this.channel.unsafe().outboundBuffer();
-		return (unwritten != null) ? unwritten.totalPendingWriteBytes() : 0;
-	}
-
 	/**
 	 * Fails the current request if it crashes upstreams and has no answer yet.
 	 * @param crashes matches requests that crash upstreams
@@ -509,7 +501,7 @@
 		return !this.answered || sentAhead() || (this.closing && this.channel.isActive());
 	}
 
-	private ChannelFuture finish(Object message, HttpHeaders headers) {
+	private void finish(Object message, HttpHeaders headers) {
 		this.session = null;
 		this.accepted.share().set(MemoryShare.Use.REQUEST, 0);
 		if (headers != null) {
@@ -517,18 +509,22 @@
 		}
 		this.answeredAtMs = this.router.nowMs();
 		boolean close = this.closing || !this.keepAlive || closesForStop();
+		this.closing = close;
 		if (close) {
-			this.closing = true;
-			this.answered = true;
 			this.accepted.decoder().drop();
-			return this.channel.writeAndFlush(message).addListener(ChannelFutureListener.CLOSE);
 		}
 		ChannelFuture writing = this.channel.writeAndFlush(message);
+		this.untaken.wrote(writing);
+		if (close) {
+			writing.addListener(ChannelFutureListener.CLOSE);
+		}
 		this.answered = true;
-		// The request may have stopped the reading of its body.
-		this.accepted.readBody(true);
-		this.accepted.next();
-		return writing;
+		this.untaken.flushed();
+		if (!close) {
+			// The request may have stopped the reading of its body.
+			this.accepted.readBody(true);
+			this.accepted.next();
+		}
 	}
 
 	private void setConnectionHeader(HttpHeaders headers) {
--- a/whinjunction-router/src/test/java/io/whinjunction/router/BufferedAnswersTests.java
+++ b/whinjunction-router/src/test/java/io/whinjunction/router/BufferedAnswersTests.java
@@ -1,7 +1,5 @@
 package io.whinjunction.router;
 
-import io.netty.channel.ChannelPromise;
-import io.netty.channel.embedded.EmbeddedChannel;
 import io.whinjunction.memory.MemoryBudget;
 import io.whinjunction.memory.MemoryShare;
 import org.junit.jupiter.api.Test;
@@ -33,17 +31,6 @@
 		assertThat(this.buffered.bytes()).isLessThan(MAX_BYTES);
 	}
 
-	@Test
-	void anAnswerCountsUntilItIsWritten() {
-		ChannelPromise writing = new EmbeddedChannel().newPromise();
-		this.buffered.addUntil(this.share, 1000, writing);
-		assertThat(this.buffered.bytes()).isEqualTo(1000);
-
-		writing.setSuccess();
-
-		assertThat(this.buffered.bytes()).isZero();
-	}
-
 	/** A holder whose request an upstream has. */
 	private record Running() implements MemoryBudget.Holder {
 
