What a caller states of its tokens takes no memory until its body is sent

All other streams are refused with 503 (no-upstream) at all three routers, while the engines run next to nothing.

Cause: a router counts the tokens of its requests as memory in use at the engines of their paths, and tells its peers. It took the count that the caller states from the moment at which the head is sent. The engine begins nothing before it has the body, and rejects what is larger than its memory. Counts of more than 2,147,483,647 wrapped to numbers below zero.

Why this works: AttemptLoad counts tokens, as memory and as a prompt that is still to be read, from when the whole body is sent, and not at all if an engine of the path can't hold them. Bodies that are buffered are whole when the attempt begins, so that other requests count as before.

--- a/whinjunction-router/src/main/java/io/whinjunction/router/Attempt.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/Attempt.java
@@ -150,8 +150,8 @@
 		this.target = target;
 		this.grant = grant;
 		this.first = target.first().incarnation();
-		this.load = new AttemptLoad(session.router().directory(), target, session.request().promptTokens(),
-				session.expectedTokens());
+		this.load = new AttemptLoad(session.router().directory(), session.service().model(), target,
+				session.request().promptTokens(), session.expectedTokens());
 	}
 
 	Target target() {
@@ -207,7 +207,7 @@
 	}
 
 	void start() {
-		this.load.began();
+		this.load.began(!this.session.body().passingThrough());
 		switch (this.target) {
 			case Target.Direct direct -> this.session.router().limits().sent(this.first);
 			case Target.Relay relay -> this.session.router().relays().began(this);
@@ -302,7 +302,9 @@
 		this.progressAtMs = this.sentAtMs;
 		if (!this.target.path().isEmpty()) {
 			this.session.router().engineMonitor().add(this);
-			this.load.readingBegan();
+			if (!this.session.body().passingThrough()) {
+				this.load.readingBegan();
+			}
 		}
 		CallerRequest request = this.session.request();
 		HttpMethod method = HttpMethod.valueOf(request.method());
@@ -384,6 +386,10 @@
 	/** Completes the body of the request. */
 	void sendBodyEnd() {
 		if (this.sent && !this.ended) {
+			this.load.hold();
+			if (this.eventBatches == 0) {
+				this.load.readingBegan();
+			}
 			this.connection.write(LastHttpContent.EMPTY_LAST_CONTENT);
 			this.connection.requestWritten();
 		}
--- a/whinjunction-router/src/main/java/io/whinjunction/router/AttemptLoad.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/AttemptLoad.java
@@ -1,11 +1,17 @@
 package io.whinjunction.router;
 
+import io.whinjunction.chain.Engine;
 import io.whinjunction.chain.Hop;
+import io.whinjunction.chain.ModelProfile;
 
 /**
  * Accounts for the load of one attempt at the upstreams of its path, so that other
  * upstreams are preferred while these are full.
  * <p>
+ * Callers state how many tokens a request has. They count as memory in use only from when
+ * the whole request is sent, as an engine begins nothing before, and only if all engines
+ * of the path can hold them, as a larger request is rejected.
+ * <p>
  * Invariants: each {@link #began()} is matched by one {@link #ended()}, which subtracts
  * exactly what was added, also after the attempt was {@link #moved} to another path. The
  * prompt is counted as unread at most once. An upstream that has been removed is skipped,
@@ -15,37 +21,56 @@
 
 	private final UpstreamDirectory directory;
 
+	private final ModelProfile model;
+
 	private final int promptTokens;
 
 	private final int expectedTokens;
 
 	private Target target;
 
+	/** Whether the tokens are counted as memory in use. */
+	private boolean held;
+
 	/** Whether the prompt is counted as unread at the engines of the path. */
 	private boolean reading;
 
 	/**
 	 * Creates the load of an attempt that is not counted yet.
 	 * @param directory the upstreams
+	 * @param model the model of the engines; {@code null} if the target has no path
 	 * @param target the target of the attempt
 	 * @param promptTokens the number of prompt tokens that the engines have to read
 	 * @param expectedTokens the number of tokens that the request is expected to have
 	 * when it completes
 	 */
-	AttemptLoad(UpstreamDirectory directory, Target target, int promptTokens, int expectedTokens) {
+	AttemptLoad(UpstreamDirectory directory, ModelProfile model, Target target, int promptTokens, int expectedTokens) {
 		this.directory = directory;
+		this.model = model;
 		this.target = target;
 		this.promptTokens = promptTokens;
 		this.expectedTokens = expectedTokens;
 	}
 
-	/** Starts counting the request at the upstreams. */
-	void began() {
+	/**
+	 * Starts counting the request at the upstreams.
+	 * @param whole whether its whole body can be sent
+	 */
+	void began(boolean whole) {
 		count(true);
+		if (whole) {
+			hold();
+		}
+	}
+
+	/** Counts the tokens as memory in use, as the whole request is sent. */
+	void hold() {
+		countHeld(true);
 	}
 
 	/** Stops counting the request. */
 	void ended() {
+		countHeld(false);
 		count(false);
 	}
 
@@ -56,9 +81,10 @@
 	 * @param newTarget the new path
 	 */
 	void moved(Target newTarget) {
-		count(false);
+		boolean whole = this.held;
+		ended();
 		this.target = newTarget;
-		count(true);
+		began(whole);
 	}
 
 	/** Counts the prompt as unread at the engines of the path. */
@@ -75,41 +101,53 @@
 	}
 
 	private void countReading(boolean begins) {
-		if (this.reading == begins) {
+		if (this.reading == begins || begins && !fits()) {
 			return;
 		}
 		this.reading = begins;
 		for (Hop hop : this.target.path()) {
 			UpstreamState state = this.directory.find(hop.engine().id());
-			if (state != null && begins) {
-				state.readingBegan(this.promptTokens);
+			if (state != null) {
+				state.addUnread(begins ? this.promptTokens : -this.promptTokens);
 			}
-			else if (state != null) {
-				state.readingEnded(this.promptTokens);
+		}
+	}
+
+	private void countHeld(boolean begins) {
+		if (this.held == begins || begins && !fits()) {
+			return;
+		}
+		this.held = begins;
+		for (Hop hop : this.target.path()) {
+			UpstreamState state = this.directory.find(hop.engine().id());
+			if (state != null) {
+				long tokenLayers = (long) this.expectedTokens * (hop.layers().end() - hop.layers().first());
+				state.addTokenLayers(begins ? tokenLayers : -tokenLayers);
 			}
 		}
 	}
 
+	private boolean fits() {
+		return this.target.path().stream().map(Hop::engine).allMatch(this::fits);
+	}
+
+	private boolean fits(Engine engine) {
+		return this.expectedTokens <= this.model.kvCapacityTokens(engine.kind(), engine.heldLayers());
+	}
+
 	private void count(boolean begins) {
 		if (this.target.path().isEmpty()) {
-			count(this.target.first().incarnation(), 0, begins);
+			count(this.target.first().incarnation(), begins);
 		}
-		long tokens = this.expectedTokens;
 		for (Hop hop : this.target.path()) {
-			count(hop.engine().id(), tokens * (hop.layers().end() - hop.layers().first()), begins);
+			count(hop.engine().id(), begins);
 		}
 	}
 
-	private void count(String upstreamId, long tokenLayers, boolean begins) {
+	private void count(String upstreamId, boolean begins) {
 		UpstreamState state = this.directory.find(upstreamId);
-		if (state == null) {
-			return;
-		}
-		if (begins) {
-			state.began(tokenLayers);
-		}
-		else {
-			state.ended(tokenLayers);
+		if (state != null) {
+			state.addRequests(begins ? 1 : -1);
 		}
 	}
 
--- a/whinjunction-router/src/main/java/io/whinjunction/router/CallerRequest.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/CallerRequest.java
@@ -43,4 +43,17 @@
 		return (mark >= 0) ? this.uri.substring(0, mark) : this.uri;
 	}
 
+	/**
+	 * Returns how many tokens the request is expected to occupy. The maximum that a
+	 * caller allows for the answer is two to three times the length of real answers, so
+	 * the usual length is the upper bound.
+	 * @param usualAnswerTokens the usual length of an answer
+	 * @return tokens of the prompt and of a usual answer, at most
+	 * {@link Integer#MAX_VALUE}
+	 */
+	public int expectedTokens(int usualAnswerTokens) {
+		long tokens = (long) this.promptTokens + Math.min(this.answerTokens, usualAnswerTokens);
+		return (int) Math.min(Integer.MAX_VALUE, tokens);
+	}
+
 }
--- a/whinjunction-router/src/main/java/io/whinjunction/router/ForwardSession.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/ForwardSession.java
@@ -1157,14 +1157,12 @@
 	}
 
 	/**
-	 * Returns how many tokens the request is expected to occupy. The maximum that a
-	 * caller allows for the answer is two to three times the length of real answers, so
-	 * the usual length is the upper bound.
+	 * Returns how many tokens the request is expected to occupy.
 	 * @return tokens of the prompt and of a usual answer
 	 */
 	int expectedTokens() {
 		int usual = this.service.chained() ? this.service.model().meanAnswerTokens() : 0;
-		return this.request.promptTokens() + Math.min(this.request.answerTokens(), usual);
+		return this.request.expectedTokens(usual);
 	}
 
 	/**
--- a/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamState.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/UpstreamState.java
@@ -77,14 +77,12 @@
 		return this.tokenLayers;
 	}
 
-	void began(long tokenLayers) {
-		this.requests++;
-		this.tokenLayers += tokenLayers;
+	void addRequests(int change) {
+		this.requests += change;
 	}
 
-	void ended(long tokenLayers) {
-		this.requests--;
-		this.tokenLayers -= tokenLayers;
+	void addTokenLayers(long change) {
+		this.tokenLayers += change;
 	}
 
 	/**
@@ -95,12 +93,8 @@
 		return this.unreadTokens;
 	}
 
-	void readingBegan(long promptTokens) {
-		this.unreadTokens += promptTokens;
-	}
-
-	void readingEnded(long promptTokens) {
-		this.unreadTokens -= promptTokens;
+	void addUnread(long changeTokens) {
+		this.unreadTokens += changeTokens;
 	}
 
 	void avoidUntil(long untilMs) {
--- a/whinjunction-router/src/test/java/io/whinjunction/router/UpstreamDirectoryTests.java
+++ b/whinjunction-router/src/test/java/io/whinjunction/router/UpstreamDirectoryTests.java
@@ -59,7 +59,7 @@
 	void anEngineRestartedUnderItsNameSharesNoStateWithItsEarlierIncarnation() {
 		this.directory.replace(List.of(engine(1_000, new LayerRange(0, 40))));
 		UpstreamState before = this.directory.find("e@1000");
-		before.began(10);
+		before.addTokenLayers(10);
 		before.avoidUntil(Long.MAX_VALUE);
 
 		this.directory
@@ -130,7 +130,7 @@
 	@Test
 	void loadCountedWithoutAStartTimeIsNotKeptOnceTheTimeIsKnown() {
 		this.directory.replace(List.of(engine(Upstream.BORN_UNKNOWN, new LayerRange(0, 40))));
-		this.directory.find("e").began(10);
+		this.directory.find("e").addTokenLayers(10);
 
 		this.directory.replace(List.of(engine(1_000, new LayerRange(0, 40))));
 
@@ -141,7 +141,7 @@
 	@Test
 	void anEntryWithoutAStartTimeBelongsToTheKnownIncarnation() {
 		this.directory.replace(List.of(engine(1_000, null)));
-		this.directory.find("e@1000").began(10);
+		this.directory.find("e@1000").addTokenLayers(10);
 
 		this.directory.replace(List.of(engine(Upstream.BORN_UNKNOWN, new LayerRange(0, 40))));
 
@@ -163,8 +163,8 @@
 	@Test
 	void theBusiestEnginesAreReturnedFirst() {
 		this.directory.replace(List.of(upstream("1", "a:1", false), upstream("2", "a:2", false)));
-		this.directory.find("1").began(10);
-		this.directory.find("2").began(20);
+		this.directory.find("1").addTokenLayers(10);
+		this.directory.find("2").addTokenLayers(20);
 
 		assertThat(this.directory.busiest(1)).containsOnlyKeys("2");
 	}
