The load of an attempt is added in one place

AttemptLoad had the same walk over the engines of a path for the prompt and for the memory, and kept whether tokens were counted beside whether the body was complete. It keeps the latter only: whether the path can hold the request follows from the path. So a request that moves to a path that can hold it counts there, also if the path before could not.

--- a/whinjunction-router/src/main/java/io/whinjunction/router/AttemptLoad.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/AttemptLoad.java
@@ -1,5 +1,7 @@
 package io.whinjunction.router;
 
+import java.util.function.BiConsumer;
+
 import io.whinjunction.chain.Engine;
 import io.whinjunction.chain.Hop;
 import io.whinjunction.chain.ModelProfile;
@@ -12,7 +14,7 @@
  * the whole request is sent, as an engine begins nothing before, and only if all engines
  * of the path can hold them, as a larger request is rejected.
  * <p>
- * Invariants: each {@link #began()} is matched by one {@link #ended()}, which subtracts
+ * Invariants: each {@link #began} is matched by one {@link #ended()}, which subtracts
  * exactly what was added, also after the attempt was {@link #moved} to another path. The
  * prompt is counted as unread at most once. An upstream that has been removed is skipped,
  * since its counts were removed with it. Confined to the event loop.
@@ -29,8 +31,8 @@
 
 	private Target target;
 
-	/** Whether the tokens are counted as memory in use. */
-	private boolean held;
+	/** Whether the whole request is sent, so that its tokens count as memory in use. */
+	private boolean whole;
 
 	/** Whether the prompt is counted as unread at the engines of the path. */
 	private boolean reading;
@@ -54,24 +56,24 @@
 
 	/**
 	 * Starts counting the request at the upstreams.
-	 * @param whole whether its whole body can be sent
+	 * @param bodyComplete whether its whole body can be sent
 	 */
-	void began(boolean whole) {
-		count(true);
-		if (whole) {
-			hold();
-		}
+	void began(boolean bodyComplete) {
+		this.whole = bodyComplete;
+		count(1);
 	}
 
 	/** Counts the tokens as memory in use, as the whole request is sent. */
 	void hold() {
-		countHeld(true);
+		if (!this.whole) {
+			this.whole = true;
+			countTokens(1);
+		}
 	}
 
 	/** Stops counting the request. */
 	void ended() {
-		countHeld(false);
-		count(false);
+		count(-1);
 	}
 
 	/**
@@ -81,10 +83,9 @@
 	 * @param newTarget the new path
 	 */
 	void moved(Target newTarget) {
-		boolean whole = this.held;
-		ended();
+		count(-1);
 		this.target = newTarget;
-		began(whole);
+		count(1);
 	}
 
 	/** Counts the prompt as unread at the engines of the path. */
@@ -101,54 +102,50 @@
 	}
 
 	private void countReading(boolean begins) {
-		if (this.reading == begins || begins && !fits()) {
-			return;
-		}
-		this.reading = begins;
-		for (Hop hop : this.target.path()) {
-			UpstreamState state = this.directory.find(hop.engine().id());
-			if (state != null) {
-				state.addUnread(begins ? this.promptTokens : -this.promptTokens);
-			}
+		if (this.reading != begins) {
+			this.reading = begins;
+			int change = begins ? this.promptTokens : -this.promptTokens;
+			addAtEngines((state, hop) -> state.addUnread(change));
 		}
 	}
 
-	private void countHeld(boolean begins) {
-		if (this.held == begins || begins && !fits()) {
-			return;
+	private void count(int requests) {
+		if (this.target.path().isEmpty()) {
+			addRequests(this.target.first().incarnation(), requests);
 		}
-		this.held = begins;
-		for (Hop hop : this.target.path()) {
-			UpstreamState state = this.directory.find(hop.engine().id());
-			if (state != null) {
-				long tokenLayers = (long) this.expectedTokens * (hop.layers().end() - hop.layers().first());
-				state.addTokenLayers(begins ? tokenLayers : -tokenLayers);
-			}
+		this.target.path().forEach((hop) -> addRequests(hop.engine().id(), requests));
+		if (this.whole) {
+			countTokens(requests);
 		}
 	}
 
-	private boolean fits() {
-		return this.target.path().stream().map(Hop::engine).allMatch(this::fits);
+	private void addRequests(String upstreamId, int requests) {
+		UpstreamState state = this.directory.find(upstreamId);
+		if (state != null) {
+			state.addRequests(requests);
+		}
 	}
 
-	private boolean fits(Engine engine) {
-		return this.expectedTokens <= this.model.kvCapacityTokens(engine.kind(), engine.heldLayers());
+	private void countTokens(long requests) {
+		long tokens = requests * this.expectedTokens;
+		addAtEngines((state, hop) -> state.addTokenLayers(tokens * (hop.layers().end() - hop.layers().first())));
 	}
 
-	private void count(boolean begins) {
-		if (this.target.path().isEmpty()) {
-			count(this.target.first().incarnation(), begins);
+	// A path that can't hold the request rejects it.
+	private void addAtEngines(BiConsumer<UpstreamState, Hop> addition) {
+		if (!this.target.path().stream().map(Hop::engine).allMatch(this::fits)) {
+			return;
 		}
 		for (Hop hop : this.target.path()) {
-			count(hop.engine().id(), begins);
+			UpstreamState state = this.directory.find(hop.engine().id());
+			if (state != null) {
+				addition.accept(state, hop);
+			}
 		}
 	}
 
-	private void count(String upstreamId, boolean begins) {
-		UpstreamState state = this.directory.find(upstreamId);
-		if (state != null) {
-			state.addRequests(begins ? 1 : -1);
-		}
+	private boolean fits(Engine engine) {
+		return this.expectedTokens <= this.model.kvCapacityTokens(engine.kind(), engine.heldLayers());
 	}
 
 }
--- a/whinjunction-router/src/main/java/io/whinjunction/router/CallerConnection.java
+++ b/whinjunction-router/src/main/java/io/whinjunction/router/CallerConnection.java
@@ -367,7 +367,6 @@
 	void writeBody(ByteBuf content) {
 		if (!this.framesChunks) {
 			this.untaken.wrote(this.channel.write(new DefaultHttpContent(content)));
-
 			return;
 		}
 		try {
